--- /dev/null
+++ b/src/main/java/org/hollypick/Node.java
@@ -0,0 +1,177 @@
+package org.hollypick;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hollypick.api.UserApi;
+import org.hollypick.cloud.CloudClient;
+import org.hollypick.cluster.Membership;
+import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.View;
+import org.hollypick.config.Constants;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.control.Term;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Runtime;
+import org.hollypick.state.StateClient;
+import org.hollypick.worker.WorkerClient;
+import org.hollypick.worker.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A controller: everything but sockets and clocks. All of it runs on one event loop. */
+public final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final OperatorSettings operator;
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final WorkerClient workers;
+    private final View view;
+    private final Membership membership;
+    private final UserApi users;
+    /** Shared with the term; prices in it follow the cloud. */
+    private final Map<String, MachineType> types = new HashMap<>();
+    private Term term;
+
+    public Node(Runtime runtime, Settings settings, OperatorSettings operator) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.operator = operator;
+        this.state = new StateClient(runtime, settings);
+        this.cloud = new CloudClient(runtime, settings);
+        this.workers = new WorkerClient(runtime);
+        this.view = new View(runtime, state, Keys.PREFIX, this::recordsChanged);
+        this.membership = new Membership(runtime, state, settings, view, this::leadership);
+        this.users = new UserApi(runtime, settings, state, view, membership, () -> term, () -> types.isEmpty() ? null : types);
+    }
+
+    public void start() {
+        LOG.info("start node={} zone={}", settings.node(), settings.zone());
+        membership.start();
+        view.load();
+        refreshTypes();
+    }
+
+    private void refreshTypes() {
+        cloud.types(t -> {
+            if (t == null) {
+                runtime.after(1_000, this::refreshTypes);
+                return;
+            }
+            types.putAll(t);
+            leadership();
+            runtime.after(Constants.TYPES_MS, this::refreshTypes);
+        });
+    }
+
+    private void recordsChanged(List<String> keys) {
+        leadership();
+        if (term != null) {
+            term.recordsChanged(keys);
+        }
+    }
+
+    /** Brings the term in line with the roster. */
+    private void leadership() {
+        if (!view.loaded()) {
+            return;
+        }
+        long baton = membership.baton();
+        if (term != null && (term.baton != baton)) {
+            term.end();
+            term = null;
+            state.setOwner(false);
+        }
+        if (term == null && baton != 0 && !types.isEmpty() && membership.valid()) {
+            if (baton >>> (63 - Constants.ATTEMPT_BITS) != 0) {
+                LOG.error("baton too large for attempt numbers baton={}", Long.toUnsignedString(baton));
+                return;
+            }
+            state.setOwner(true);
+            term = new Term(baton, runtime, settings, operator, view, state, cloud, workers, types, () -> membership.entitled(baton));
+            term.start();
+        }
+        membership.claimIfFree();
+    }
+
+    // ---- requests ----
+
+    /** A request of users, workers or health checks. */
+    public void handle(String method, String path, byte[] bytes, Consumer<Answer> answer) {
+        if (path.equals("/hello")) {
+            answer.accept(method.equals("POST") ? hello(Codec.read(bytes, false)) : notAllowed());
+        } else if (path.equals("/ready")) {
+            answer.accept(method.equals("GET") ? ready() : notAllowed());
+        } else if (path.equals("/submissions")) {
+            if (method.equals("POST")) {
+                users.submit(Codec.read(bytes, false), answer);
+            } else {
+                answer.accept(notAllowed());
+            }
+        } else if (path.startsWith("/submissions/")) {
+            String rest = path.substring("/submissions/".length());
+            if (rest.endsWith("/withdraw")) {
+                if (method.equals("POST")) {
+                    users.withdraw(rest.substring(0, rest.length() - "/withdraw".length()), answer);
+                } else {
+                    answer.accept(notAllowed());
+                }
+            } else if (method.equals("GET")) {
+                users.status(rest, answer);
+            } else {
+                answer.accept(notAllowed());
+            }
+        } else {
+            answer.accept(Answer.error(404, "no such path"));
+        }
+    }
+
+    /** A request of another controller. */
+    public void handleMesh(String method, String path, byte[] bytes, Consumer<Answer> answer) {
+        if (!path.startsWith("/jobs/")) {
+            answer.accept(Answer.error(404, "no such path"));
+            return;
+        }
+        String rest = path.substring("/jobs/".length());
+        if (method.equals("POST") && rest.endsWith("/abort")) {
+            users.meshAbort(rest.substring(0, rest.length() - "/abort".length()), answer);
+        } else if (method.equals("GET")) {
+            users.meshStatus(rest, answer);
+        } else {
+            answer.accept(notAllowed());
+        }
+    }
+
+    private static Answer notAllowed() {
+        return Answer.error(405, "method not allowed");
+    }
+
+    private Answer ready() {
+        boolean ready = view.loaded() && !types.isEmpty() && membership.rosterStamp() != 0;
+        return ready ? Answer.of(200, Codec.object().put("ready", true)) : Answer.later("starting");
+    }
+
+    private Answer hello(JsonNode body) {
+        Report report = WorkerCodec.report(body);
+        if (report == null) {
+            return Answer.error(400, "not a report");
+        }
+        if (term != null && term.acting()) {
+            return term.hello(report);
+        }
+        String leader = membership.leader();
+        if (leader == null || leader.equals(settings.node())) {
+            return Answer.later("not entitled to act");
+        }
+        return Answer.of(421, Codec.object().put("foreman", leader));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/api/JobCodec.java
@@ -0,0 +1,129 @@
+package org.hollypick.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.hollypick.config.Constants;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.JobSpec.Rank;
+import org.hollypick.io.Codec;
+
+/** The users' wire names, and the job's record, which uses them too. */
+public final class JobCodec {
+    private static final Pattern ID = Pattern.compile("req-[0-9]{1,18}");
+    private static final double AMOUNT_MAX = 1e9;
+
+    private JobCodec() {}
+
+    /** A field that is missing or invalid. */
+    public static final class Invalid extends Exception {
+        Invalid(String message) {
+            super(message);
+        }
+    }
+
+    public static boolean isId(String id) {
+        return ID.matcher(id).matches();
+    }
+
+    public static JobSpec read(JsonNode b) throws Invalid {
+        String id = text(b, "name_id");
+        if (!isId(id)) {
+            throw new Invalid("name_id");
+        }
+        boolean service = switch (text(b, "shape")) {
+            case "batch" -> false;
+            case "standing" -> true;
+            default -> throw new Invalid("shape");
+        };
+        Rank rank = switch (text(b, "rank")) {
+            case "prod" -> Rank.PRODUCTION;
+            case "urgent" -> Rank.HIGH;
+            case "standard" -> Rank.NORMAL;
+            case "low" -> Rank.LOW;
+            default -> throw new Invalid("rank");
+        };
+        JsonNode tasks = b.path("shards");
+        if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.asInt() < 1 || tasks.asInt() > Constants.TASKS_MAX) {
+            throw new Invalid("shards");
+        }
+        Set<String> types = null;
+        if (!absent(b.path("flavours"))) {
+            types = new LinkedHashSet<>();
+            if (!b.path("flavours").isArray() || b.path("flavours").isEmpty()) {
+                throw new Invalid("flavours");
+            }
+            for (JsonNode t : b.path("flavours")) {
+                if (!t.isTextual()) {
+                    throw new Invalid("flavours");
+                }
+                types.add(t.asText());
+            }
+        }
+        String zone = absent(b.path("hall")) ? null : text(b, "hall");
+        double due = absent(b.path("due_s")) ? Double.NaN : amount(b, "due_s");
+        double cpus = amount(b, "cores");
+        double gpus = amount(b, "gpus");
+        double memory = amount(b, "ram_gb");
+        return new JobSpec(id, text(b, "jobkind"), absent(b.path("owner")) ? "" : text(b, "owner"), service, rank, tasks.asInt(),
+                cpus, gpus, memory, types, zone, flag(b, "together"), flag(b, "spread"), flag(b, "lendable"),
+                text(b, "bundle"), amount(b, "pull_gb"), amount(b, "expect_s"), amount(b, "bookmark_s"),
+                amount(b, "stow_s"), due);
+    }
+
+    public static ObjectNode write(JobSpec s) {
+        ObjectNode b = Codec.object().put("name_id", s.id()).put("jobkind", s.jobClass()).put("owner", s.team())
+                .put("shape", s.service() ? "standing" : "batch")
+                .put("rank", switch (s.rank()) {
+                    case PRODUCTION -> "prod";
+                    case HIGH -> "urgent";
+                    case NORMAL -> "standard";
+                    case LOW -> "low";
+                })
+                .put("shards", s.tasks()).put("cores", s.cpus()).put("gpus", s.gpus()).put("ram_gb", s.memory());
+        if (s.types() != null) {
+            ArrayNode types = b.putArray("flavours");
+            s.types().forEach(types::add);
+        }
+        if (s.zone() != null) {
+            b.put("hall", s.zone());
+        }
+        b.put("together", s.oneZone()).put("spread", s.spread()).put("lendable", s.spot()).put("bundle", s.image())
+                .put("pull_gb", s.imageGb()).put("expect_s", s.estimateS()).put("bookmark_s", s.checkpointS()).put("stow_s", s.saveS());
+        if (!Double.isNaN(s.dueS())) {
+            b.put("due_s", s.dueS());
+        }
+        return b;
+    }
+
+    private static boolean absent(JsonNode n) {
+        return n.isMissingNode() || n.isNull();
+    }
+
+    private static String text(JsonNode b, String field) throws Invalid {
+        JsonNode n = b.path(field);
+        if (!n.isTextual() || n.asText().isEmpty() || n.asText().length() > 200) {
+            throw new Invalid(field);
+        }
+        return n.asText();
+    }
+
+    private static double amount(JsonNode b, String field) throws Invalid {
+        JsonNode n = b.path(field);
+        if (!n.isNumber() || !(n.asDouble() >= 0) || n.asDouble() > AMOUNT_MAX) {
+            throw new Invalid(field);
+        }
+        return n.asDouble();
+    }
+
+    private static boolean flag(JsonNode b, String field) throws Invalid {
+        JsonNode n = b.path(field);
+        if (!n.isBoolean()) {
+            throw new Invalid(field);
+        }
+        return n.asBoolean();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -0,0 +1,293 @@
+package org.hollypick.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.Membership;
+import org.hollypick.cluster.View;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.control.Records;
+import org.hollypick.control.Term;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.MachineType;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Runtime;
+import org.hollypick.state.StateClient;
+
+/** What users ask, on any node. The owner answers from its own state, the others ask it or read the records. */
+public final class UserApi {
+    private final Runtime runtime;
+    private final Settings settings;
+    private final StateClient state;
+    private final View view;
+    private final Membership membership;
+    private final Supplier<Term> term;
+    private final Supplier<Map<String, MachineType>> types;
+    /** Until when the owner isn't asked, after it left a question unanswered. */
+    private long ownerSilentUntil;
+
+    public UserApi(Runtime runtime, Settings settings, StateClient state, View view, Membership membership, Supplier<Term> term,
+            Supplier<Map<String, MachineType>> types) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.state = state;
+        this.view = view;
+        this.membership = membership;
+        this.term = term;
+        this.types = types;
+    }
+
+    // ---- submissions ----
+
+    public void submit(JsonNode body, Consumer<Answer> answer) {
+        if (body == null || !body.isObject()) {
+            answer.accept(Answer.error(400, "not a CBOR map"));
+            return;
+        }
+        String id = body.path("name_id").asText("");
+        if (!body.path("name_id").isTextual() || !JobCodec.isId(id)) {
+            answer.accept(Answer.error(400, "name_id"));
+            return;
+        }
+        if (view.get(Keys.job(id)) != null) {
+            status(id, answer);
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobCodec.read(body);
+        } catch (JobCodec.Invalid e) {
+            unlessKnown(id, Answer.error(400, "missing or invalid: " + e.getMessage()), answer);
+            return;
+        }
+        if (types.get() == null || !view.loaded()) {
+            answer.accept(Answer.later("starting"));
+            return;
+        }
+        String never = neverRuns(spec);
+        if (never != null) {
+            unlessKnown(id, Answer.error(422, never), answer);
+            return;
+        }
+        create(spec, 2, answer);
+    }
+
+    /** A refusal that is final is only given after a fresh read: a job that was accepted stays accepted. */
+    private void unlessKnown(String id, Answer refusal, Consumer<Answer> answer) {
+        state.get(Keys.job(id), r -> {
+            if (r.status() == 404) {
+                answer.accept(refusal);
+            } else if (r.ok()) {
+                status(id, answer);
+            } else {
+                answer.accept(Answer.later("state service"));
+            }
+        });
+    }
+
+    private String neverRuns(JobSpec s) {
+        Settings.Team team = settings.teams().get(s.team());
+        if (team == null && !s.team().isEmpty()) {
+            return "unknown team";
+        }
+        boolean fits = false;
+        for (MachineType t : types.get().values()) {
+            fits |= t.fits(s);
+        }
+        if (!fits) {
+            return "a task fits no allowed machine type";
+        }
+        int at = s.service() ? s.tasks() : 1;
+        if (team != null && (team.cpusMax() > 0 && at * s.cpus() > team.cpusMax() || team.gpusMax() > 0 && at * s.gpus() > team.gpusMax())) {
+            return "more than the team's limit";
+        }
+        return null;
+    }
+
+    /** The record is conditional on the roster, so that a later owner knows that no earlier one can have started the job. */
+    private void create(JobSpec spec, int tries, Consumer<Answer> answer) {
+        long roster = membership.rosterStamp();
+        if (roster == 0 || state.crowded()) {
+            answer.accept(Answer.later("busy"));
+            return;
+        }
+        String key = Keys.job(spec.id());
+        StateClient.Txn txn = new StateClient.Txn().when(key, 0).when(Keys.ROSTER, roster).put(key, Records.live(spec, roster));
+        state.commit(txn, r -> {
+            if (r.ok()) {
+                answer.accept(Answer.of(201, body(spec.id(), "pending", 0, 0)));
+                return;
+            }
+            if (r.status() == 409) {
+                for (JsonNode failed : r.body().path("failed")) {
+                    if (failed.asText().equals(key)) {
+                        status(spec.id(), answer);
+                        return;
+                    }
+                }
+                if (tries > 1) {
+                    runtime.after(2 * Constants.WATCH_GAP_MS, () -> create(spec, tries - 1, answer));
+                    return;
+                }
+            }
+            answer.accept(Answer.later("state service"));
+        });
+    }
+
+    // ---- polls ----
+
+    public void status(String id, Consumer<Answer> answer) {
+        if (!JobCodec.isId(id)) {
+            answer.accept(Answer.error(404, "no such job"));
+            return;
+        }
+        if (known(id, answer)) {
+            return;
+        }
+        String owner = ownerToAsk();
+        if (owner == null) {
+            fromRecord(id, answer);
+            return;
+        }
+        runtime.call(new Call(owner, "GET", "/jobs/" + id, null, Constants.MESH_TIMEOUT_MS, true), r -> {
+            if (r.ok()) {
+                answer.accept(Answer.of(200, r.body()));
+            } else {
+                if (r.status() <= 0) {
+                    ownerSilentUntil = runtime.now() + 3_000;
+                }
+                fromRecord(id, answer);
+            }
+        });
+    }
+
+    /** Answers from what this node knows for certain: a terminal state, or a live job that it owns. */
+    private boolean known(String id, Consumer<Answer> answer) {
+        View.Entry e = view.get(Keys.job(id));
+        if (e != null && Records.isOver(e.data())) {
+            answer.accept(over(id, e.data()));
+            return true;
+        }
+        Job job = owned(id);
+        if (job != null) {
+            answer.accept(live(job));
+            return true;
+        }
+        return false;
+    }
+
+    private Job owned(String id) {
+        Term t = term.get();
+        return t != null && t.acting() ? t.scheduler.jobs.get(id) : null;
+    }
+
+    private String ownerToAsk() {
+        Term t = term.get();
+        String leader = membership.leader();
+        if (leader == null || t != null && t.acting() || runtime.now() < ownerSilentUntil) {
+            return null;
+        }
+        for (Settings.Sibling s : settings.siblings()) {
+            if (s.node().equals(leader)) {
+                return s.addr();
+            }
+        }
+        return null;
+    }
+
+    private void fromRecord(String id, Consumer<Answer> answer) {
+        state.get(Keys.job(id), r -> {
+            if (r.status() == 404) {
+                answer.accept(Answer.error(404, "no such job"));
+            } else if (!r.ok()) {
+                answer.accept(Answer.later("state service"));
+            } else if (Records.isOver(r.body().path("data"))) {
+                answer.accept(over(id, r.body().path("data")));
+            } else {
+                answer.accept(Answer.of(200, body(id, "pending", 0, 0)));
+            }
+        });
+    }
+
+    private static Answer live(Job job) {
+        int running = job.running();
+        return Answer.of(200, body(job.spec.id(), running > 0 ? "running" : "pending", job.done.cardinality(), running));
+    }
+
+    private static Answer over(String id, JsonNode record) {
+        return Answer.of(200, body(id, record.path("status").asText(), record.path("done").asInt(), 0));
+    }
+
+    private static ObjectNode body(String id, String status, int done, int running) {
+        return Codec.object().put("name_id", id).put("status", status).put("done", done).put("running", running);
+    }
+
+    // ---- withdrawals ----
+
+    public void withdraw(String id, Consumer<Answer> answer) {
+        if (!JobCodec.isId(id)) {
+            answer.accept(Answer.error(404, "no such job"));
+            return;
+        }
+        View.Entry e = view.get(Keys.job(id));
+        if (e != null && Records.isOver(e.data())) {
+            answer.accept(over(id, e.data()));
+            return;
+        }
+        Job job = owned(id);
+        if (job != null) {
+            term.get().abort(job, done -> answer.accept(done ? Answer.of(200, body(id, Records.ABORTED, job.done.cardinality(), 0))
+                    : Answer.later("state service")));
+            return;
+        }
+        String owner = ownerToAsk();
+        if (owner != null) {
+            runtime.call(new Call(owner, "POST", "/jobs/" + id + "/abort", Codec.object(), Constants.STATE_TIMEOUT_MS, true), r -> {
+                if (r.ok()) {
+                    answer.accept(Answer.of(200, r.body()));
+                } else {
+                    withdrawn(id, answer);
+                }
+            });
+            return;
+        }
+        withdrawn(id, answer);
+    }
+
+    /** Only the owner aborts a live job; without it only what is over already, or never was, can be told. */
+    private void withdrawn(String id, Consumer<Answer> answer) {
+        state.get(Keys.job(id), r -> {
+            if (r.status() == 404) {
+                answer.accept(Answer.error(404, "no such job"));
+            } else if (r.ok() && Records.isOver(r.body().path("data"))) {
+                answer.accept(over(id, r.body().path("data")));
+            } else {
+                answer.accept(Answer.later("no owner"));
+            }
+        });
+    }
+
+    // ---- questions of other nodes ----
+
+    /** Another node asks about a job; only an acting owner knows more than the records. */
+    public void meshStatus(String id, Consumer<Answer> answer) {
+        if (!known(id, answer)) {
+            answer.accept(Answer.error(404, "not owned here"));
+        }
+    }
+
+    public void meshAbort(String id, Consumer<Answer> answer) {
+        if (owned(id) != null) {
+            withdraw(id, answer);
+        } else if (!known(id, answer)) {
+            answer.accept(Answer.error(404, "not owned here"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/cli/Main.java
@@ -0,0 +1,86 @@
+package org.hollypick.cli;
+
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.hollypick.Node;
+import org.hollypick.config.ConfigException;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.HttpServer;
+import org.hollypick.io.Network;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. */
+@Command(name = "hollypick", mixinStandardHelpOptions = true, version = "hollypick 0.1.0",
+        description = "A controller of the hollypick cluster scheduler.")
+public final class Main implements Callable<Integer> {
+    @Option(names = "--operator", paramLabel = "FILE", description = "the operators' own settings, an EDN map")
+    private Path operatorFile;
+
+    @Option(names = "--check-config", description = "check the settings and end")
+    private boolean checkOnly;
+
+    @Option(names = "--self-test", description = "start on loopback without any service, answer a few requests and end")
+    private boolean selfTest;
+
+    @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings, TOML")
+    private Path config;
+
+    private Main() {}
+
+    public static void main(String[] args) {
+        Logs.configure(System.getenv("LOG_LEVEL"));
+        int code = new CommandLine(new Main()).execute(args);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        if (selfTest) {
+            return SelfTest.run();
+        }
+        Settings settings;
+        OperatorSettings operator;
+        try {
+            if (config == null) {
+                throw new ConfigException("--config: missing");
+            }
+            settings = Settings.read(config);
+            operator = operatorFile == null ? OperatorSettings.defaults() : OperatorSettings.read(operatorFile);
+        } catch (ConfigException e) {
+            System.err.println(e.getMessage());
+            return 2;
+        }
+        if (!checkOnly) {
+            serve(settings, operator);
+        }
+        return 0;
+    }
+
+    /** Starts the node; it runs until the process is killed. */
+    static Undertow serve(Settings settings, OperatorSettings operator) throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .getMap());
+        DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
+        Network network = new Network(worker.getIoThread(), buffers);
+        Node node = new Node(network, settings, operator);
+        Undertow server = HttpServer.start(worker, buffers, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
+        network.after(0, node::start);
+        return server;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/cloud/CloudClient.java
@@ -0,0 +1,77 @@
+package org.hollypick.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.MachineType;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.RateBudget;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+
+/** The cloud's protocol, inside its request limit. Over the limit a call isn't sent; the loops try again. */
+public final class CloudClient {
+    private final Runtime runtime;
+    private final String address;
+    private final RateBudget budget;
+
+    public CloudClient(Runtime runtime, Settings settings) {
+        this.runtime = runtime;
+        this.address = settings.cloud();
+        this.budget = new RateBudget(settings.cloudRps() * 0.8, runtime.now());
+    }
+
+    private void send(Call call, Consumer<Reply> reply) {
+        if (!budget.has(1, runtime.now())) {
+            reply.accept(Reply.notSent());
+            return;
+        }
+        budget.take(1, runtime.now());
+        runtime.call(call, reply);
+    }
+
+    public void types(Consumer<Map<String, MachineType>> reply) {
+        send(Call.of(address, "GET", "/machine_types", null, Constants.CLOUD_TIMEOUT_MS), r -> {
+            if (!r.ok()) {
+                reply.accept(null);
+                return;
+            }
+            Map<String, MachineType> types = new LinkedHashMap<>();
+            for (JsonNode t : r.body().path("flavours")) {
+                Set<String> zones = new LinkedHashSet<>();
+                t.path("halls").forEach(z -> zones.add(z.asText()));
+                MachineType type = new MachineType(t.path("sku").asText(), t.path("cores").asDouble(), t.path("gpus").asDouble(),
+                        t.path("ram_gb").asDouble(), t.path("cache_gb").asDouble(), t.path("pull_gb_per_s").asDouble(1),
+                        t.path("price").asDouble(), t.path("market_price").asDouble(), t.path("ready_s").asDouble(), zones);
+                types.put(type.name(), type);
+            }
+            reply.accept(types);
+        });
+    }
+
+    public void hire(String request, String type, String zone, boolean spot, int count, Consumer<Reply> reply) {
+        ObjectNode body = Codec.object().put("hire", request).put("flavour", type).put("hall", zone).put("lendable", spot).put("number", count);
+        send(Call.of(address, "POST", "/hosts", body, Constants.CLOUD_TIMEOUT_MS), reply);
+    }
+
+    public void giveBack(Collection<String> machines, Consumer<Reply> reply) {
+        ObjectNode body = Codec.object();
+        ArrayNode names = body.putArray("bothies");
+        machines.forEach(names::add);
+        send(Call.of(address, "POST", "/hosts/return", body, Constants.CLOUD_TIMEOUT_MS), reply);
+    }
+
+    public void list(String from, Consumer<Reply> reply) {
+        String path = "/hosts?page=500" + (from == null ? "" : "&from=" + from);
+        send(Call.of(address, "GET", path, null, Constants.CLOUD_TIMEOUT_MS), reply);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -0,0 +1,34 @@
+package org.hollypick.cluster;
+
+/** The names of this service's records in the state service. */
+public final class Keys {
+    public static final String PREFIX = "h/";
+    public static final String ROSTER = "h/roster";
+    private static final String MEMBER = "h/n/";
+    public static final String JOB = "h/j/";
+    public static final String PROGRESS = "h/p/";
+    public static final String MACHINE = "h/m/";
+    public static final String SIZES = "h/s/";
+
+    private Keys() {}
+
+    public static String member(String node) {
+        return MEMBER + node;
+    }
+
+    public static String job(String id) {
+        return JOB + id;
+    }
+
+    public static String progress(String id, int chunk) {
+        return PROGRESS + id + "/" + chunk;
+    }
+
+    public static String machine(String id) {
+        return MACHINE + id;
+    }
+
+    public static String sizes(String node) {
+        return SIZES + node;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/cluster/View.java
@@ -0,0 +1,128 @@
+package org.hollypick.cluster;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** This node's copy of everything under one prefix, kept by one watch. It may lag; only terminal states in it are final. */
+public final class View {
+    private static final Logger LOG = LoggerFactory.getLogger(View.class);
+
+    /** A record and the stamp of its last change. */
+    public record Entry(JsonNode data, long stamp) {}
+
+    private final Runtime runtime;
+    private final StateClient state;
+    private final String prefix;
+    private final Consumer<List<String>> changed;
+    private Map<String, Entry> entries = new HashMap<>();
+    private long epoch;
+    private boolean loaded;
+    private long watchedAt;
+
+    public View(Runtime runtime, StateClient state, String prefix, Consumer<List<String>> changed) {
+        this.runtime = runtime;
+        this.state = state;
+        this.prefix = prefix;
+        this.changed = changed;
+    }
+
+    public boolean loaded() {
+        return loaded;
+    }
+
+    public Entry get(String key) {
+        return entries.get(key);
+    }
+
+    public long stamp(String key) {
+        Entry e = entries.get(key);
+        return e == null ? 0 : e.stamp;
+    }
+
+    public Map<String, Entry> entries() {
+        return entries;
+    }
+
+    public void load() {
+        page(null, new HashMap<>(), -1);
+    }
+
+    private void page(String from, Map<String, Entry> into, long firstEpoch) {
+        state.list(prefix, from, r -> {
+            if (!r.ok()) {
+                runtime.after(300, this::load);
+                return;
+            }
+            String last = from;
+            for (JsonNode e : r.body().path("entries")) {
+                last = e.path("key").asText();
+                into.put(last, new Entry(e.path("data"), Codec.u64(e.path("stamp"))));
+            }
+            long at = firstEpoch == -1 ? Codec.u64(r.body().path("epoch")) : firstEpoch;
+            if (r.body().path("truncated").asBoolean()) {
+                page(last, into, at);
+                return;
+            }
+            entries = into;
+            epoch = at;
+            loaded = true;
+            changed.accept(new ArrayList<>(into.keySet()));
+            watch();
+        });
+    }
+
+    private void watch() {
+        watchedAt = runtime.now();
+        state.watch(prefix, epoch, this::watched);
+    }
+
+    private void watched(Reply r) {
+        if (r.status() == 410) {
+            LOG.info("watch too old, reading all again epoch={}", epoch);
+            load();
+            return;
+        }
+        if (!r.ok()) {
+            runtime.after(300, this::watch);
+            return;
+        }
+        List<String> keys = new ArrayList<>();
+        for (JsonNode e : r.body().path("events")) {
+            long stamp = Codec.u64(e.path("stamp"));
+            String key = e.has("put") ? e.path("put").asText() : e.path("drop").asText();
+            if (Long.compareUnsigned(stamp, stamp(key)) <= 0) {
+                continue;
+            }
+            if (e.has("put")) {
+                entries.put(key, new Entry(e.path("data"), stamp));
+            } else {
+                entries.remove(key);
+            }
+            keys.add(key);
+        }
+        long at = Codec.u64(r.body().path("epoch"));
+        if (Long.compareUnsigned(at, epoch) > 0) {
+            epoch = at;
+        }
+        if (!keys.isEmpty()) {
+            changed.accept(keys);
+        }
+        long gap = Constants.WATCH_GAP_MS - (runtime.now() - watchedAt);
+        if (gap > 0) {
+            runtime.after(gap, this::watch);
+        } else {
+            watch();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -0,0 +1,111 @@
+package org.hollypick.config;
+
+/** Every tunable number of the program, with its unit and the reason for its value. */
+public final class Constants {
+    private Constants() {}
+
+    // ---- clocks ----
+    /** Ratio. Two steady clocks may differ by 0.05 % each way; both ends may be off, so twice that. */
+    public static final double DRIFT = 0.001;
+    /** Milliseconds taken off every hold and added to every wait, for timer steps. */
+    public static final long CLOCK_MARGIN_MS = 150;
+
+    // ---- the member hold ----
+    /** Milliseconds. Longer than the outages to ride out; a crashed node ends its old hold itself when it is back. */
+    public static final long HOLD_MS = 28_000;
+    /** Milliseconds between renewals: an outage that starts just before one leaves at least 24 s. */
+    public static final long RENEW_MS = 4_000;
+    /** Milliseconds until a failed renewal is tried again: quick enough to catch the end of an outage. */
+    public static final long RENEW_RETRY_MS = 700;
+    /** Milliseconds that nodes wait, by rank, before claiming a free leadership, so that claims rarely collide. */
+    public static final long CLAIM_STEP_MS = 150;
+    /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
+    public static final int ATTEMPT_BITS = 20;
+
+    // ---- calls ----
+    /** Milliseconds for a call to the state service; normal answers take 10 ms, a few hundred at times. */
+    public static final long STATE_TIMEOUT_MS = 2_000;
+    /** Milliseconds a watch waits; far below the service's limit, so that a dead connection is noticed. */
+    public static final long WATCH_MS = 8_000;
+    /** Milliseconds between two watch requests of one node: bounds the requests a busy stream costs. */
+    public static final long WATCH_GAP_MS = 60;
+    /** Milliseconds for a call to the cloud. */
+    public static final long CLOUD_TIMEOUT_MS = 5_000;
+    /** Milliseconds for an order to a worker; after that its outcome is open. */
+    public static final long ORDER_TIMEOUT_MS = 1_500;
+    /** Milliseconds for a question to another node; users wait 2 s for a poll. */
+    public static final long MESH_TIMEOUT_MS = 700;
+    /** Connections kept to one address at most; keeps sockets bounded. */
+    public static final int CONNECTIONS_PER_ADDRESS = 6;
+    /** Calls waiting for a connection to one address; beyond it the call fails at once. */
+    public static final int QUEUED_PER_ADDRESS = 200;
+    /** Ratio of the state service's limits that the nodes plan to use together. */
+    public static final double STATE_BUDGET = 0.85;
+    /** Ratio of the writes that the owner may use; the others share the rest. */
+    public static final double OWNER_WRITE_SHARE = 0.6;
+    /** Requests queued at the state client before new submissions are refused with 503. */
+    public static final int STATE_QUEUE = 100;
+    /** Milliseconds a queued state request may wait for its turn; users give up after 5 s. */
+    public static final long STATE_QUEUE_MS = 2_500;
+
+    // ---- user interface ----
+    /** Bytes of a request body, from the protocol. */
+    public static final int BODY_BYTES = 64 * 1024;
+    /** Seconds told in Retry-After: the shortest the protocol allows, since most refusals are brief. */
+    public static final int RETRY_AFTER_S = 1;
+    /** Tasks of one job at most, from the protocol. */
+    public static final int TASKS_MAX = 100_000;
+    /** Tasks in one progress record: 4 KiB of bits is 5.5 KiB in base64, under the smallest value limit. */
+    public static final int PROGRESS_CHUNK = 32_768;
+
+    // ---- loops ----
+    /** Milliseconds between the owner's regular passes over machines and tasks. */
+    public static final long TICK_MS = 250;
+    /** Milliseconds between placement passes after events: several events share one pass. */
+    public static final long PASS_GAP_MS = 20;
+    /** Milliseconds between flushes of progress to the state service. */
+    public static final long FLUSH_MS = 150;
+    /** Milliseconds between looks at the cloud's machine list. */
+    public static final long LIST_MS = 3_000;
+    /** Milliseconds between refreshes of the machine types and their prices. */
+    public static final long TYPES_MS = 60_000;
+    /** Milliseconds between fleet decisions. */
+    public static final long FLEET_MS = 1_000;
+    /** Milliseconds between writes of a controller's Tyrex sizes. */
+    public static final long SIZES_MS = 10_000;
+
+    // ---- Tyrex (paper, sections IV B-D and VI A) ----
+    /** Share of the machines in the first partition; 20 % and 30 % are the paper's best. */
+    public static final double FIRST_SHARE = 0.30;
+    /** Squared coefficient of variation above which a partition counts as unbalanced (section IV D). */
+    public static final double CV2_LIMIT = 2.0;
+    /** Machines the first partition keeps free before it lends. */
+    public static final int FIRST_KEEPS_FREE = 1;
+
+    // ---- blame ----
+    /** Failures on a machine, by different jobs, after which it gets no more tasks and is returned. */
+    public static final int MACHINE_ERRORS = 2;
+    /** Milliseconds a task waits after a failure, doubled each time its job fails, up to the maximum. */
+    public static final long TASK_BACKOFF_MS = 1_000;
+    public static final long TASK_BACKOFF_MAX_MS = 30_000;
+    /** Milliseconds without a report after which a machine is returned: two and a half report intervals and a retry. */
+    public static final long SILENT_MS = 9_000;
+    /** Share of machines that may be silent before silence is taken to be this node's own trouble. */
+    public static final double SILENT_SHARE = 0.34;
+    /** Milliseconds after takeover before silence counts: workers need time to find the new owner. */
+    public static final long SILENT_GRACE_MS = 9_000;
+    /** Multiple of the usual boot time after which a machine that never reported is returned. */
+    public static final double BOOT_PATIENCE = 4.0;
+
+    // ---- fleet ----
+    /** Milliseconds an idle machine is kept; a return costs a boot later, and 60 s are charged anyway. */
+    public static final long IDLE_MS = 45_000;
+    /** Milliseconds during which a refused kind of machine isn't asked for again. */
+    public static final long NO_CAPACITY_MS = 12_000;
+    /** Machines in one rental request at most, from the protocol. */
+    public static final int HIRE_MAX = 50;
+    /** Names in one return request at most, from the protocol. */
+    public static final int RETURN_MAX = 100;
+    /** Cores kept for service tasks to come, per zone. */
+    public static final double WARM_CORES = 4.0;
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -0,0 +1,121 @@
+package org.hollypick.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The settings file that the platform hands over. Unknown fields are ignored. */
+public record Settings(
+        String node, String zone, String publicAddr, String meshAddr, List<Sibling> siblings,
+        String cloud, String state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
+        double reportS, double leaseS, double cancelS,
+        double stateRps, double stateWriteRps, int valueBytes, int txnOps,
+        double cloudRps, double listLagS) {
+
+    public record Sibling(String node, String zone, String addr) {}
+
+    /** Limits of a team; 0 means no guarantee or no limit. */
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+    public record Objective(String kind, String jobClass, double withinS, double share) {}
+
+    public static Settings read(Path file) {
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(Files.readString(file));
+        } catch (JsonProcessingException e) {
+            throw new ConfigException("settings: not TOML: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new ConfigException("settings: can't read " + file + ": " + e.getMessage());
+        }
+        return parse(root);
+    }
+
+    public static Settings parse(JsonNode root) {
+        List<Sibling> siblings = new ArrayList<>();
+        for (JsonNode s : root.path("siblings")) {
+            siblings.add(new Sibling(text(s, "node_name"), s.path("location").asText(""), address(s, "peer_addr")));
+        }
+        JsonNode services = table(root, "services");
+        JsonNode params = table(root, "params");
+        List<String> zones = new ArrayList<>();
+        for (JsonNode z : params.path("zones")) {
+            zones.add(z.asText());
+        }
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (JsonNode t : params.path("teams")) {
+            Team team = new Team(text(t, "name"), amount(t, "cpus"), amount(t, "cpus_max"), amount(t, "gpus"), amount(t, "gpus_max"));
+            teams.put(team.name(), team);
+        }
+        List<Objective> objectives = new ArrayList<>();
+        for (JsonNode o : params.path("objectives")) {
+            objectives.add(new Objective(o.path("kind").asText(""), o.path("class").asText(""),
+                    o.path("within_s").asDouble(0), o.path("share").asDouble(0)));
+        }
+        JsonNode workers = table(params, "workers");
+        JsonNode state = table(params, "state");
+        JsonNode cloud = table(params, "cloud");
+        return new Settings(text(root, "node_name"), text(root, "location"), address(root, "public_addr"),
+                address(root, "mesh_addr"), List.copyOf(siblings), address(services, "cloud"), address(services, "state"),
+                List.copyOf(zones), teams, List.copyOf(objectives),
+                positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "cancel_s"),
+                positive(state, "rps"), positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
+                (int) positive(state, "txn_ops"), positive(cloud, "rps"), positive(cloud, "list_lag_s"));
+    }
+
+    private static JsonNode table(JsonNode at, String field) {
+        JsonNode v = at.path(field);
+        if (!v.isObject()) {
+            throw new ConfigException(field + ": missing table");
+        }
+        return v;
+    }
+
+    private static String text(JsonNode at, String field) {
+        JsonNode v = at.path(field);
+        if (!v.isTextual() || v.asText().isBlank()) {
+            throw new ConfigException(field + ": missing or not text");
+        }
+        return v.asText();
+    }
+
+    private static String address(JsonNode at, String field) {
+        String v = text(at, field);
+        int colon = v.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(v.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65536) {
+                return v;
+            }
+        } catch (NumberFormatException e) {
+            // reported below, with the field's name
+        }
+        throw new ConfigException(field + ": not host:port: " + v);
+    }
+
+    private static double amount(JsonNode at, String field) {
+        JsonNode v = at.path(field);
+        if (v.isMissingNode()) {
+            return 0;
+        }
+        if (!v.isNumber() || !(v.asDouble() >= 0)) {
+            throw new ConfigException(field + ": not a number of at least 0");
+        }
+        return v.asDouble();
+    }
+
+    private static double positive(JsonNode at, String field) {
+        JsonNode v = at.path(field);
+        if (!v.isNumber() || !(v.asDouble() > 0)) {
+            throw new ConfigException(field + ": missing or not above 0");
+        }
+        return v.asDouble();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -0,0 +1,116 @@
+package org.hollypick.core.ledger;
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.MachineType;
+
+/** A machine and everything that may be on it. */
+public final class Machine {
+    public final String id;
+    public String addr = "";
+    public final MachineType type;
+    public final String zone;
+    public final boolean spot;
+
+    /** Durably recorded; before that nothing may be launched here. */
+    public boolean registered;
+    public boolean registering;
+    /** It has reported under the current baton, or nothing older can be on it. */
+    public boolean heard;
+    /** Its worker has reported at least once in this term. */
+    public boolean up;
+    public long tenure;
+    public long tick;
+    /** Reports of older tenures tell nothing any more. */
+    public long minTenure;
+    /** When the last report was answered with 200; its lease can't have been renewed later. */
+    public long answeredAt;
+    public long lastReportAt;
+    public long createdAt;
+    public long idleSince;
+    public boolean returning;
+    /** Gets no new tasks: on notice, faulty, or chosen to be returned. */
+    public boolean draining;
+    public boolean faulty;
+    public long noRoomUntil;
+    /** When probed after silence; 0 if not. */
+    public long probedAt;
+    /** In the first Tyrex partition. */
+    public boolean first;
+    public boolean directBusy;
+    public final Map<String, Placement> placements = new LinkedHashMap<>();
+    public List<TaskReport> reported = List.of();
+    public final Object2LongOpenHashMap<String> images = new Object2LongOpenHashMap<>();
+    public final Set<String> failedJobs = new HashSet<>();
+    public double usedCpus;
+    public double usedGpus;
+    public double usedMemory;
+
+    public Machine(String id, MachineType type, String zone, boolean spot, long now) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.createdAt = now;
+        this.idleSince = now;
+    }
+
+    public static String key(String task, long attempt) {
+        return task + "#" + Long.toUnsignedString(attempt);
+    }
+
+    public void add(Placement p) {
+        placements.put(key(p.taskId(), p.attempt), p);
+        p.usesRoom = true;
+        use(p, 1);
+    }
+
+    /** Its room may be used by others: it exited, or is killed at once by an order ahead of theirs. */
+    public void release(Placement p) {
+        if (p.usesRoom) {
+            p.usesRoom = false;
+            use(p, -1);
+        }
+    }
+
+    private void use(Placement p, int sign) {
+        usedCpus += sign * p.job.spec.cpus();
+        usedGpus += sign * p.job.spec.gpus();
+        usedMemory += sign * p.job.spec.memory();
+    }
+
+    public boolean hasRoom(JobSpec job) {
+        double slack = 1e-6; // sums of decimal amounts
+        return usedCpus + job.cpus() <= type.cpus() + slack && usedGpus + job.gpus() <= type.gpus() + slack
+                && usedMemory + job.memory() <= type.memory() + slack;
+    }
+
+    public boolean usable() {
+        return registered && heard && up && !draining && !returning && !faulty;
+    }
+
+    public boolean idle() {
+        for (Placement p : placements.values()) {
+            if (p.there()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    public List<Placement> there() {
+        List<Placement> list = new ArrayList<>();
+        for (Placement p : placements.values()) {
+            if (p.there()) {
+                list.add(p);
+            }
+        }
+        return list;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/core/ledger/Placement.java
@@ -0,0 +1,51 @@
+package org.hollypick.core.ledger;
+
+import org.hollypick.core.Job;
+
+/** One attempt of a task that is, or may be, on a machine. */
+public final class Placement {
+    public enum State { SENT, FETCHING, RUNNING, SAVING, EXITED }
+
+    public final Job job;
+    public final int index;
+    public final long attempt;
+    public final Machine machine;
+    public State state = State.SENT;
+    /** Wanted gone: a kill goes out until the worker reports it exited. */
+    public boolean stop;
+    public double graceS;
+    /** An exited attempt may be cleared once what it achieved is durable. */
+    public boolean clearable;
+    /** A direct launch went out and its outcome is unknown: it may be executed late, while the tenure lasts. */
+    public boolean directDoubt;
+    /** A direct launch is on its way right now. */
+    public boolean directInFlight;
+    /** The answer to the machine's latest report carried the launch. */
+    public boolean viaHello;
+    /** Its room on the machine is still taken. */
+    boolean usesRoom;
+    public final long startedAt;
+    public long runningAt;
+
+    public Placement(Job job, int index, long attempt, Machine machine, long now) {
+        this.job = job;
+        this.index = index;
+        this.attempt = attempt;
+        this.machine = machine;
+        this.startedAt = now;
+    }
+
+    /** Whether the task may be on the machine. */
+    public boolean there() {
+        return state != State.EXITED;
+    }
+
+    /** Whether a copy of the launch may still be executed: clearing the attempt now could start it once more. */
+    public boolean launchMayFollow() {
+        return directDoubt || directInFlight || viaHello;
+    }
+
+    public String taskId() {
+        return job.spec.id() + "/" + index;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -0,0 +1,139 @@
+package org.hollypick.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Placement;
+
+/** Chooses a machine for a task: what is allowed, what is best, and what may be stopped for it. */
+public final class Placer {
+    private Placer() {}
+
+    /** A machine and the tasks to stop on it first. */
+    public record Choice(Machine machine, List<Placement> victims) {}
+
+    /** Whether the job's tasks may start here, given where its other tasks may be; room is another question. */
+    public static boolean allowed(Job job, Machine m) {
+        JobSpec s = job.spec;
+        if (!m.type.fits(s) || s.zone() != null && !s.zone().equals(m.zone) || m.spot && !s.spot()) {
+            return false;
+        }
+        if (s.spread() && job.inZone(m.zone) + 1 > (s.tasks() + 1) / 2) {
+            return false;
+        }
+        return !s.oneZone() || job.inZone(m.zone) == job.live.size();
+    }
+
+    /** The best machine with room, or null. */
+    public static Machine choose(Job job, Collection<Machine> machines, long now) {
+        Machine best = null;
+        double bestScore = 0;
+        for (Machine m : machines) {
+            if (m.usable() && now >= m.noRoomUntil && !m.failedJobs.contains(job.spec.id()) && m.hasRoom(job.spec) && allowed(job, m)) {
+                double score = score(job, m);
+                if (best == null || score > bestScore) {
+                    best = m;
+                    bestScore = score;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** Higher is better: the image's fetch time first, then the right kind, spread of services, tight packing of arrays. */
+    static double score(Job job, Machine m) {
+        JobSpec s = job.spec;
+        double fetch = m.images.containsKey(s.image()) ? 0 : s.imageGb() / m.type.fetchGbPerS() * (fetching(m, s.image()) ? 0.6 : 1 + 0.5 * fetches(m));
+        double score = -fetch;
+        double fill = m.usedCpus / m.type.cpus();
+        if (s.service()) {
+            int mine = 0;
+            for (Placement p : job.live.values()) {
+                if (p.machine == m) {
+                    mine++;
+                }
+            }
+            score -= 5 * mine + 2 * fill;
+        } else {
+            score += 2 * fill + (m.spot ? 3 : 0);
+        }
+        return score;
+    }
+
+    private static boolean fetching(Machine m, String image) {
+        for (Placement p : m.placements.values()) {
+            if (p.there() && p.state != Placement.State.RUNNING && p.job.spec.image().equals(image)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static int fetches(Machine m) {
+        int n = 0;
+        for (Placement p : m.placements.values()) {
+            if (p.state == Placement.State.FETCHING || p.state == Placement.State.SENT) {
+                n++;
+            }
+        }
+        return Math.min(n, 4);
+    }
+
+    /** A machine on which stopping work of lower priority makes room, the least work lost; null if there is none. */
+    public static Choice preempt(Job job, Collection<Machine> machines, long now) {
+        Choice best = null;
+        double bestScore = 0;
+        for (Machine m : machines) {
+            if (!m.usable() || now < m.noRoomUntil || m.failedJobs.contains(job.spec.id()) || !allowed(job, m)) {
+                continue;
+            }
+            List<Placement> victims = victims(job.spec, m, now);
+            if (victims == null) {
+                continue;
+            }
+            double lost = 0;
+            for (Placement p : victims) {
+                lost += p.state == Placement.State.RUNNING ? (now - p.runningAt) / 1000.0 * p.job.spec.cpus() : 0;
+            }
+            double score = score(job, m) - lost / 20;
+            if (best == null || score > bestScore) {
+                best = new Choice(m, victims);
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private static List<Placement> victims(JobSpec job, Machine m, long now) {
+        List<Placement> lower = new ArrayList<>();
+        for (Placement p : m.placements.values()) {
+            if (p.there() && !p.stop && p.job.spec.rank().compareTo(job.rank()) > 0) {
+                lower.add(p);
+            }
+        }
+        lower.sort(Comparator.comparing((Placement p) -> p.job.spec.rank()).reversed().thenComparingLong(p -> -p.startedAt));
+        double cpus = m.type.cpus() - m.usedCpus;
+        double gpus = m.type.gpus() - m.usedGpus;
+        double memory = m.type.memory() - m.usedMemory;
+        List<Placement> chosen = new ArrayList<>();
+        for (Placement p : lower) {
+            if (fits(job, cpus, gpus, memory)) {
+                break;
+            }
+            chosen.add(p);
+            cpus += p.job.spec.cpus();
+            gpus += p.job.spec.gpus();
+            memory += p.job.spec.memory();
+        }
+        return fits(job, cpus, gpus, memory) ? chosen : null;
+    }
+
+    private static boolean fits(JobSpec job, double cpus, double gpus, double memory) {
+        double slack = 1e-6;
+        return job.cpus() <= cpus + slack && job.gpus() <= gpus + slack && job.memory() <= memory + slack;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/core/tyrex/Tyrex.java
@@ -0,0 +1,41 @@
+package org.hollypick.core.tyrex;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.OptionalDouble;
+import org.hollypick.config.Constants;
+import org.hollypick.core.Job;
+
+/** The dynamic-timer policy: at a task's completion, jobs above the balanced cutoff move on. */
+public final class Tyrex {
+    private Tyrex() {}
+
+    /** The jobs that move from the first partition to the second now. */
+    public static List<Job> movers(Collection<Job> jobs) {
+        List<Job> first = new ArrayList<>();
+        int nonzero = 0;
+        for (Job job : jobs) {
+            if (job.status == Job.Status.LIVE && !job.second()) {
+                first.add(job);
+                if (job.partialSize > 0) {
+                    nonzero++;
+                }
+            }
+        }
+        if (nonzero < 2) {
+            return List.of();
+        }
+        double[] sizes = first.stream().mapToDouble(j -> j.partialSize).toArray();
+        if (!(Cutoff.cv2(sizes) > Constants.CV2_LIMIT)) {
+            return List.of();
+        }
+        OptionalDouble cutoff = Cutoff.balanced(sizes);
+        if (cutoff.isEmpty()) {
+            return List.of();
+        }
+        double p = cutoff.getAsDouble();
+        first.removeIf(j -> j.partialSize <= p);
+        return first;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/io/Codec.java
@@ -0,0 +1,53 @@
+package org.hollypick.io;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.IOException;
+
+/** CBOR for the outside, JSON among the nodes; both as Jackson trees. */
+public final class Codec {
+    private static final ObjectMapper CBOR = new ObjectMapper(new CBORFactory());
+    private static final ObjectMapper JSON = JsonMapper.builder().disable(JsonGenerator.Feature.AUTO_CLOSE_TARGET).build();
+
+    private Codec() {}
+
+    public static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    public static ArrayNode array() {
+        return JsonNodeFactory.instance.arrayNode();
+    }
+
+    public static byte[] write(JsonNode node, boolean json) {
+        try {
+            return (json ? JSON : CBOR).writeValueAsBytes(node);
+        } catch (IOException e) {
+            throw new IllegalStateException("a tree that can't be written", e);
+        }
+    }
+
+    /** The tree, or null when the bytes hold none. */
+    public static JsonNode read(byte[] bytes, boolean json) {
+        if (bytes.length == 0) {
+            return null;
+        }
+        try {
+            JsonNode node = (json ? JSON : CBOR).readTree(bytes);
+            return node == null || node.isMissingNode() ? null : node;
+        } catch (IOException | RuntimeException | StackOverflowError e) {
+            return null; // garbage from outside must never harm the node
+        }
+    }
+
+    /** An unsigned 64-bit number; compare with {@link Long#compareUnsigned}. */
+    public static long u64(JsonNode node) {
+        return node.isBigInteger() ? node.bigIntegerValue().longValue() : node.asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -0,0 +1,83 @@
+package org.hollypick.io;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioWorker;
+
+/** Undertow in front of the node: the user and worker endpoint in CBOR, the mesh in JSON. */
+public final class HttpServer {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+
+    /** What answers a request; it may answer later, but always on the event loop. */
+    public interface Service {
+        void handle(String method, String path, byte[] body, Consumer<Answer> answer);
+    }
+
+    private HttpServer() {}
+
+    public static Undertow start(XnioWorker worker, ByteBufferPool buffers, String publicAddr, Service users, String meshAddr, Service mesh) {
+        Undertow server = Undertow.builder()
+                .setWorker(worker)
+                .setByteBufferPool(buffers)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Constants.BODY_BYTES)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false)
+                .addHttpListener(port(publicAddr), host(publicAddr), handler(users, false))
+                .addHttpListener(port(meshAddr), host(meshAddr), handler(mesh, true))
+                .build();
+        server.start();
+        return server;
+    }
+
+    private static String host(String addr) {
+        return addr.substring(0, addr.lastIndexOf(':'));
+    }
+
+    private static int port(String addr) {
+        return Integer.parseInt(addr.substring(addr.lastIndexOf(':') + 1));
+    }
+
+    private static HttpHandler handler(Service service, boolean json) {
+        return exchange -> exchange.getRequestReceiver().receiveFullBytes(
+                (x, body) -> x.dispatch(SameThreadExecutor.INSTANCE, () -> serve(service, x, body, json)),
+                (x, e) -> {
+                    LOG.debug("request not received path={} reason={}", x.getRequestPath(), e.toString());
+                    x.setStatusCode(400);
+                    x.setPersistent(false);
+                    x.endExchange();
+                });
+    }
+
+    private static void serve(Service service, HttpServerExchange x, byte[] body, boolean json) {
+        try {
+            service.handle(x.getRequestMethod().toString(), x.getRequestPath(), body, a -> send(x, a, json));
+        } catch (RuntimeException e) {
+            LOG.error("request failed path=" + x.getRequestPath(), e);
+            send(x, Answer.later("internal"), json);
+        }
+    }
+
+    private static void send(HttpServerExchange x, Answer a, boolean json) {
+        if (x.isResponseStarted()) {
+            return;
+        }
+        x.setStatusCode(a.status());
+        x.getResponseHeaders().put(Headers.CONTENT_TYPE, json ? "application/json" : "application/cbor");
+        if (a.retryAfterS() > 0) {
+            x.getResponseHeaders().put(Headers.RETRY_AFTER, a.retryAfterS());
+        }
+        x.getResponseSender().send(ByteBuffer.wrap(Codec.write(a.body(), json)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/io/Runtime.java
@@ -0,0 +1,15 @@
+package org.hollypick.io;
+
+import java.util.function.Consumer;
+
+/** What the node needs of the world around it; the tests put a simulated world in its place. */
+public interface Runtime {
+    /** The steady clock, in milliseconds. */
+    long now();
+
+    /** Runs on the event loop after a while. */
+    void after(long ms, Runnable task);
+
+    /** Sends a request; the reply comes back on the event loop, exactly once. */
+    void call(Call call, Consumer<Reply> reply);
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/state/StateClient.java
@@ -0,0 +1,165 @@
+package org.hollypick.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2LongLinkedOpenHashMap;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.RateBudget;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+
+/** The state service's protocol, inside this node's share of its limits. Leases never wait in the queue. */
+public final class StateClient {
+    private final Runtime runtime;
+    private final String address;
+    private final Settings settings;
+    private final RateBudget requests;
+    private final RateBudget writes;
+    private final ArrayDeque<Queued> queue = new ArrayDeque<>();
+    private boolean draining;
+
+    private record Queued(Call call, int puts, long deadline, Consumer<Reply> reply) {}
+
+    /** A transaction under construction. */
+    public static final class Txn {
+        private final Object2LongLinkedOpenHashMap<String> when = new Object2LongLinkedOpenHashMap<>();
+        private final ArrayNode then = Codec.array();
+
+        public Txn when(String key, long stamp) {
+            when.put(key, stamp);
+            return this;
+        }
+
+        public Txn put(String key, JsonNode data) {
+            then.addObject().put("put", key).set("data", data);
+            return this;
+        }
+
+        public Txn putLeased(String key, JsonNode data, long tenancy) {
+            ObjectNode op = then.addObject().put("put", key).put("tenancy", tenancy);
+            op.set("data", data);
+            return this;
+        }
+
+        public Txn drop(String key) {
+            then.addObject().put("drop", key);
+            return this;
+        }
+
+        public int ops() {
+            return then.size();
+        }
+
+        JsonNode body() {
+            ObjectNode body = Codec.object();
+            ArrayNode conditions = body.putArray("when");
+            when.object2LongEntrySet().forEach(e -> conditions.addObject().put("key", e.getKey()).put("stamp", e.getLongValue()));
+            body.set("then", then);
+            return body;
+        }
+    }
+
+    public StateClient(Runtime runtime, Settings settings) {
+        this.runtime = runtime;
+        this.address = settings.state();
+        this.settings = settings;
+        int nodes = settings.siblings().size() + 1;
+        this.requests = new RateBudget(settings.stateRps() * Constants.STATE_BUDGET / nodes, runtime.now());
+        this.writes = new RateBudget(1, runtime.now());
+        setOwner(false);
+    }
+
+    /** The owner's share of the writes is larger: progress and machines are its to record. */
+    public void setOwner(boolean owner) {
+        int others = Math.max(1, settings.siblings().size());
+        double all = settings.stateWriteRps() * Constants.STATE_BUDGET;
+        writes.setRate(settings.siblings().isEmpty() ? all
+                : owner ? all * Constants.OWNER_WRITE_SHARE : all * (1 - Constants.OWNER_WRITE_SHARE) / others);
+    }
+
+    public boolean crowded() {
+        return queue.size() >= Constants.STATE_QUEUE;
+    }
+
+    public void get(String key, Consumer<Reply> reply) {
+        submit(Call.of(address, "GET", "/keys/" + key, null, Constants.STATE_TIMEOUT_MS), 0, reply);
+    }
+
+    public void list(String prefix, String from, Consumer<Reply> reply) {
+        String path = "/keys?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&page=500";
+        submit(Call.of(address, "GET", path, null, Constants.STATE_TIMEOUT_MS), 0, reply);
+    }
+
+    public void commit(Txn txn, Consumer<Reply> reply) {
+        submit(Call.of(address, "POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS), txn.ops(), reply);
+    }
+
+    /** Leadership and membership: ahead of the queue, like leases. */
+    public void commitNow(Txn txn, Consumer<Reply> reply) {
+        writes.take(txn.ops(), runtime.now());
+        urgent(Call.of(address, "POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS), reply);
+    }
+
+    public void grant(long lifeMs, Consumer<Reply> reply) {
+        urgent(Call.of(address, "POST", "/holds", Codec.object().put("life_ms", lifeMs), Constants.STATE_TIMEOUT_MS), reply);
+    }
+
+    public void extend(long tenancy, Consumer<Reply> reply) {
+        urgent(Call.of(address, "POST", "/holds/" + Long.toUnsignedString(tenancy) + "/extend", Codec.object(), Constants.STATE_TIMEOUT_MS), reply);
+    }
+
+    public void end(long tenancy, Consumer<Reply> reply) {
+        urgent(Call.of(address, "DELETE", "/holds/" + Long.toUnsignedString(tenancy), null, Constants.STATE_TIMEOUT_MS), reply);
+    }
+
+    public void watch(String prefix, long from, Consumer<Reply> reply) {
+        urgent(Call.of(address, "GET", "/watch?prefix=" + prefix + "&from=" + Long.toUnsignedString(from) + "&wait_ms=" + Constants.WATCH_MS,
+                null, Constants.WATCH_MS + Constants.STATE_TIMEOUT_MS), reply);
+    }
+
+    private void urgent(Call call, Consumer<Reply> reply) {
+        requests.take(1, runtime.now());
+        runtime.call(call, reply);
+    }
+
+    private void submit(Call call, int puts, Consumer<Reply> reply) {
+        if (crowded()) {
+            reply.accept(Reply.notSent());
+            return;
+        }
+        queue.add(new Queued(call, puts, runtime.now() + Constants.STATE_QUEUE_MS, reply));
+        drain();
+    }
+
+    private void drain() {
+        if (draining) {
+            return;
+        }
+        long now = runtime.now();
+        while (!queue.isEmpty()) {
+            Queued next = queue.peek();
+            if (now >= next.deadline) {
+                queue.poll();
+                next.reply.accept(Reply.notSent());
+            } else if (requests.has(1, now) && writes.has(next.puts, now)) {
+                queue.poll();
+                requests.take(1, now);
+                writes.take(next.puts, now);
+                runtime.call(next.call, next.reply);
+            } else {
+                draining = true;
+                runtime.after(20, () -> {
+                    draining = false;
+                    drain();
+                });
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/worker/WorkerClient.java
@@ -0,0 +1,24 @@
+package org.hollypick.worker;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.core.ledger.Order;
+import org.hollypick.io.Call;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+
+/** Orders straight to a worker's address. */
+public final class WorkerClient {
+    private final Runtime runtime;
+
+    public WorkerClient(Runtime runtime) {
+        this.runtime = runtime;
+    }
+
+    public void command(String addr, long baton, long tenure, List<Order> orders, Consumer<Reply> reply) {
+        ObjectNode body = WorkerCodec.orders(baton, orders).put("tenure", tenure);
+        runtime.call(Call.of(addr, "POST", "/commands", body, Constants.ORDER_TIMEOUT_MS), reply);
+    }
+}
