--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -176,11 +176,16 @@
             return true;
         }
         Job job = owned(id);
-        if (job != null) {
+        if (job == null) {
+            return false;
+        }
+        if (job.endsInDoubt > 0) {
+            // The end may be durable already, and another node may have told it: only the record knows.
+            fromRecord(id, answer);
+        } else {
             answer.accept(live(job));
-            return true;
         }
-        return false;
+        return true;
     }
 
     private Job owned(String id) {
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -92,14 +92,26 @@
             return;
         }
         ObjectNode data = Codec.object().put("location", settings.zone()).put("mesh", settings.meshAddr());
-        state.commitNow(new StateClient.Txn().putLeased(Keys.member(settings.node()), data, tenancy), r -> {
+        // Conditional on the key's absence: a copy that is applied late must not give the key a new stamp, which the others
+        // would take for a new incarnation while this one still acts.
+        String key = Keys.member(settings.node());
+        state.commitNow(new StateClient.Txn().when(key, 0).putLeased(key, data, tenancy), r -> {
             if (self != incarnation) {
                 return;
             }
             if (r.ok()) {
-                memberStamp = Codec.u64(r.body().path("epoch"));
-                LOG.info("joined tenancy={} member={}", Long.toUnsignedString(tenancy), Long.toUnsignedString(memberStamp));
-                changed.run();
+                entered(Codec.u64(r.body().path("epoch")));
+            } else if (r.status() == 409) {
+                state.get(key, g -> {
+                    if (self != incarnation) {
+                        return;
+                    }
+                    if (g.ok() && Codec.u64(g.body().path("tenancy")) == tenancy) {
+                        entered(Codec.u64(g.body().path("stamp"))); // an earlier try was applied after all
+                    } else {
+                        runtime.after(Constants.RENEW_RETRY_MS, () -> enter(self));
+                    }
+                });
             } else if (r.status() == 400) {
                 join();
             } else {
@@ -108,6 +120,12 @@
         });
     }
 
+    private void entered(long stamp) {
+        memberStamp = stamp;
+        LOG.info("joined tenancy={} member={}", Long.toUnsignedString(tenancy), Long.toUnsignedString(stamp));
+        changed.run();
+    }
+
     private void renew(int self) {
         if (self != incarnation) {
             return;
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -74,6 +74,9 @@
     /** Milliseconds between writes of a controller's Tyrex sizes. */
     public static final long SIZES_MS = 10_000;
 
+    /** Milliseconds between log lines about the fleet as a whole. */
+    public static final long SUMMARY_MS = 10_000;
+
     // ---- Tyrex (paper, sections IV B-D and VI A) ----
     /** Share of the machines in the first partition; 20 % and 30 % are the paper's best. */
     public static final double FIRST_SHARE = 0.30;
@@ -82,9 +85,14 @@
     /** Machines the first partition keeps free before it lends. */
     public static final int FIRST_KEEPS_FREE = 1;
 
+    /** Steps in which the space between two neighbouring sizes is searched for the cutoff: it can hold two sign changes. */
+    public static final int GAP_STEPS = 32;
+
     // ---- blame ----
     /** Failures on a machine, by different jobs, after which it gets no more tasks and is returned. */
     public static final int MACHINE_ERRORS = 2;
+    /** Milliseconds that tasks on a faulty machine get to save before it is returned. */
+    public static final long FAULTY_LEAVE_MS = 12_000;
     /** Milliseconds a task waits after a failure, doubled each time its job fails, up to the maximum. */
     public static final long TASK_BACKOFF_MS = 1_000;
     public static final long TASK_BACKOFF_MAX_MS = 30_000;
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,6 +26,7 @@
 import org.hollypick.core.fleet.Fleet;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Order;
+import org.hollypick.core.ledger.Placement;
 import org.hollypick.core.ledger.Report;
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
@@ -72,6 +74,7 @@
     private long nextFleet;
     private long nextList;
     private long nextSizes;
+    private long nextSummary;
     private String lastSizes = "";
 
     private record Hire(String name, int count) {}
@@ -116,7 +119,7 @@
                     Records.restore(job.done, chunk, e.data());
                 }
             }
-            job.committed = (java.util.BitSet) job.done.clone();
+            job.committed = (BitSet) job.done.clone();
             job.pending.andNot(job.done);
             if (sizes.containsKey(job.spec.id())) {
                 scheduler.restoreSize(job, sizes.get(job.spec.id()));
@@ -191,8 +194,7 @@
 
     /** Commits the end of a job; {@code done} gets true once it is durable, false if that isn't known. */
     public void abort(Job job, Consumer<Boolean> done) {
-        StateClient.Txn txn = ending(job, Records.ABORTED);
-        state.commit(txn, r -> {
+        commitEnd(job, Records.ABORTED, r -> {
             LOG.info("abort job={} status={} baton={}", job.spec.id(), r.status(), baton);
             if (r.ok()) {
                 over(job, Records.ABORTED);
@@ -201,6 +203,17 @@
         });
     }
 
+    /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
+    private void commitEnd(Job job, String status, Consumer<Reply> reply) {
+        job.endsInDoubt++;
+        state.commit(ending(job, status), r -> {
+            if (r.status() != Reply.NO_ANSWER) {
+                job.endsInDoubt--;
+            }
+            reply.accept(r);
+        });
+    }
+
     private StateClient.Txn ending(Job job, String status) {
         String id = job.spec.id();
         StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order)
@@ -223,7 +236,7 @@
             }
             scheduler.progressDirty.remove(job);
             job.closing = true;
-            state.commit(ending(job, Records.DONE), r -> {
+            commitEnd(job, Records.DONE, r -> {
                 job.closing = false;
                 if (r.ok()) {
                     LOG.info("job done job={} baton={}", job.spec.id(), baton);
@@ -234,7 +247,7 @@
             });
         }
         StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton);
-        Map<Job, java.util.BitSet> included = new HashMap<>();
+        Map<Job, BitSet> included = new HashMap<>();
         int bytes = 0;
         for (Job job : new ArrayList<>(scheduler.progressDirty)) {
             int chunks = Records.chunks(job.spec.tasks());
@@ -258,7 +271,7 @@
             if (!changed.isEmpty()) {
                 txn.when(Keys.job(job.spec.id()), job.order);
                 changed.forEach(chunk -> txn.put(Keys.progress(job.spec.id(), chunk), Records.progress(job.done, chunk)));
-                included.put(job, (java.util.BitSet) job.done.clone());
+                included.put(job, (BitSet) job.done.clone());
             }
         }
         for (Machine m : scheduler.machines.values()) {
@@ -325,6 +338,10 @@
                 rentAndReturn(now);
                 contactUnheard();
             }
+            if (now >= nextSummary) {
+                nextSummary = now + Constants.SUMMARY_MS;
+                summary();
+            }
             if (now >= nextSizes) {
                 nextSizes = now + Constants.SIZES_MS;
                 writeSizes();
@@ -336,6 +353,28 @@
         runtime.after(Constants.TICK_MS, this::loop);
     }
 
+    private void summary() {
+        double[] cores = new double[4]; // ordinary, spot, booting, used
+        int idle = 0;
+        for (Machine m : scheduler.machines.values()) {
+            cores[!m.up ? 2 : m.spot ? 1 : 0] += m.type.cpus();
+            cores[3] += m.usedCpus;
+            idle += m.up && m.idle() ? 1 : 0;
+        }
+        int fetching = 0;
+        double serviceCores = 0;
+        double waiting = 0;
+        for (Job job : scheduler.jobs.values()) {
+            for (Placement p : job.live.values()) {
+                fetching += p.state == Placement.State.FETCHING || p.state == Placement.State.SENT ? 1 : 0;
+                serviceCores += job.spec.service() ? job.spec.cpus() : 0;
+            }
+            waiting += job.pending.cardinality() * job.spec.cpus();
+        }
+        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} fetching={}",
+                baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting, fetching);
+    }
+
     /** One pass and its orders, shared by all events that come close together. */
     public void pump() {
         if (pumping || ended) {
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -32,7 +32,8 @@
     public double partialSize;
     /** A write of the done state is on its way. */
     public boolean closing;
-    public boolean flushing;
+    /** Writes of an end that went out and may be, or become, true: another node may tell it before this one knows. */
+    public int endsInDoubt;
 
     public Job(JobSpec spec, long order, long under, long now) {
         this.spec = spec;
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -334,7 +334,7 @@
                 m.failedJobs.add(job.spec.id());
                 job.failures++;
                 if (m.failedJobs.size() >= Constants.MACHINE_ERRORS) {
-                    blame(m);
+                    blame(m, now);
                 }
                 back(job, p.index, now);
             } else if ("unknown".equals(why)) {
@@ -355,7 +355,10 @@
     }
 
     /** Errors across jobs are the machine's: it gets nothing more, what it has is moved, and it is returned. */
-    private void blame(Machine m) {
+    private void blame(Machine m, long now) {
+        if (!m.faulty) {
+            m.faultySince = now;
+        }
         m.faulty = true;
         for (Placement p : m.there()) {
             stop(p, Math.ceil(p.job.spec.saveS()));
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -141,7 +141,7 @@
                 continue;
             }
             if (m.faulty) {
-                if (m.idle()) {
+                if (m.idle() || now - m.faultySince > Constants.FAULTY_LEAVE_MS) {
                     out.add(m);
                 }
             } else if (m.up && m.idle() && !m.draining && now - m.idleSince > operator.idleMs()) {
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -38,6 +38,7 @@
     /** Gets no new tasks: on notice, faulty, or chosen to be returned. */
     public boolean draining;
     public boolean faulty;
+    public long faultySince;
     public long noRoomUntil;
     /** When probed after silence; 0 if not. */
     public long probedAt;
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -111,7 +111,7 @@
     private static List<Placement> victims(JobSpec job, Machine m, long now) {
         List<Placement> lower = new ArrayList<>();
         for (Placement p : m.placements.values()) {
-            if (p.there() && !p.stop && p.job.spec.rank().compareTo(job.rank()) > 0) {
+            if (p.there() && !p.stop && !(p.state == Placement.State.SENT && p.launchMayFollow()) && p.job.spec.rank().compareTo(job.rank()) > 0) {
                 lower.add(p);
             }
         }
--- a/src/main/java/org/hollypick/core/tyrex/Cutoff.java
+++ b/src/main/java/org/hollypick/core/tyrex/Cutoff.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.OptionalDouble;
+import org.hollypick.config.Constants;
 
 /** The balanced cutoff of the paper's section IV-D. */
 public final class Cutoff {
@@ -25,7 +26,7 @@
 
     /**
      * The p at which min(size, p) and (size - p over sizes above p) have the same squared variation, if any.
-     * Between two neighbouring sizes both are smooth in p, so each gap in which their difference changes sign is bisected.
+     * Between two neighbouring sizes both are smooth in p, so each gap is searched for a change of their difference's sign.
      */
     public static OptionalDouble balanced(double[] sizes) {
         double[] x = sizes.clone();
@@ -47,39 +48,56 @@
             if (high <= low) {
                 continue;
             }
-            Gap gap = new Gap(n, n - i - 1, below, belowSquares, sum - below, squares - belowSquares);
-            // at the gap's open ends: just above low, just below high
-            double step = (high - low) * 1e-9;
-            double a = low + step;
-            double b = high - step;
-            double fa = gap.difference(a);
-            double fb = gap.difference(b);
-            if (fa == 0) {
-                return OptionalDouble.of(a);
+            int above = n - i - 1;
+            double meanAbove = (sum - below) / above;
+            // Shifting by p leaves the variance as it is. Equal sizes have none; the subtraction would leave noise there.
+            double varianceAbove = x[n - 1] == high ? 0 : Math.max(0, (squares - belowSquares) / above - meanAbove * meanAbove);
+            Gap gap = new Gap(n, above, below, belowSquares, meanAbove, varianceAbove);
+            OptionalDouble root = gap.root(low, high);
+            if (root.isPresent()) {
+                return root;
             }
-            if (!(fa < 0 != fb < 0) || Double.isNaN(fa) || Double.isNaN(fb)) {
-                continue;
-            }
-            for (int k = 0; k < 60; k++) {
-                double mid = (a + b) / 2;
-                double fm = gap.difference(mid);
-                if (fm < 0 == fa < 0) {
-                    a = mid;
-                } else {
-                    b = mid;
-                }
-            }
-            return OptionalDouble.of((a + b) / 2);
         }
         return OptionalDouble.empty();
     }
 
     /** The sums needed to evaluate both variations for any p inside one gap. */
-    private record Gap(int n, int above, double below, double belowSquares, double sumAbove, double squaresAbove) {
+    private record Gap(int n, int above, double below, double belowSquares, double meanAbove, double varianceAbove) {
         double difference(double p) {
             double left = cv2(below + above * p, belowSquares + above * p * p, n);
-            double right = cv2(sumAbove - above * p, squaresAbove - 2 * p * sumAbove + above * p * p, above);
+            double right = varianceAbove / ((meanAbove - p) * (meanAbove - p));
             return left - right;
         }
+
+        /** The first sign change between the open ends; a gap can hold two, so it is looked through in steps. */
+        OptionalDouble root(double low, double high) {
+            double step = (high - low) / Constants.GAP_STEPS;
+            double a = low + step * 1e-6;
+            double fa = difference(a);
+            for (int k = 1; k <= Constants.GAP_STEPS; k++) {
+                double b = k == Constants.GAP_STEPS ? high - step * 1e-6 : low + k * step;
+                double fb = difference(b);
+                if (fa < 0 != fb < 0) {
+                    return OptionalDouble.of(bisect(a, b, fa < 0));
+                }
+                a = b;
+                fa = fb;
+            }
+            return OptionalDouble.empty();
+        }
+
+        private double bisect(double a, double b, boolean negativeAtA) {
+            double low = a;
+            double high = b;
+            for (int k = 0; k < 60; k++) {
+                double mid = (low + high) / 2;
+                if (difference(mid) < 0 == negativeAtA) {
+                    low = mid;
+                } else {
+                    high = mid;
+                }
+            }
+            return (low + high) / 2;
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/CloudStandIn.java
@@ -0,0 +1,145 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+
+/** The cloud, written from the protocol: requests by name, boot times, a late list. */
+final class CloudStandIn implements World.Endpoint {
+    static final double CPUS = 8;
+    private static final long LAG_MS = 4_000;
+
+    private static final class Host {
+        String zone;
+        boolean spot;
+        long born;
+        WorkerStandIn worker;
+        boolean failed;
+    }
+
+    private record Snapshot(long at, ArrayNode list) {}
+
+    private final World world;
+    private final BiFunction<String, Host, WorkerStandIn> boot;
+    private final TreeMap<String, Host> hosts = new TreeMap<>();
+    private final Map<String, ObjectNode> answered = new LinkedHashMap<>();
+    private final List<Snapshot> snapshots = new ArrayList<>();
+    private final Map<String, Integer> capacity = new LinkedHashMap<>();
+    private int names;
+
+    CloudStandIn(World world, Checker checker, List<String> nodes, List<String> zones, long leaseMs) {
+        this.world = world;
+        for (String z : zones) {
+            capacity.put(z + true, 3);
+            capacity.put(z + false, 4);
+        }
+        this.boot = (name, h) -> {
+            String addr = "w-" + name + ":9000";
+            WorkerStandIn w = new WorkerStandIn(world, checker, nodes, name, addr, h.zone, h.spot, CPUS, leaseMs);
+            world.listen(addr, w);
+            return w;
+        };
+        snapshot();
+    }
+
+    private void snapshot() {
+        ArrayNode list = Codec.array();
+        hosts.forEach((name, h) -> list.addObject().put("name_id", name).put("addr", "w-" + name + ":9000").put("flavour", "t4")
+                .put("hall", h.zone).put("lendable", h.spot).put("status", h.failed ? "failed" : h.worker == null ? "starting" : "running")
+                .put("age_s", (world.now - h.born) / 1000.0));
+        snapshots.add(new Snapshot(world.now, list));
+        snapshots.removeIf(s -> s.at < world.now - 3 * LAG_MS);
+        world.at(1_000, this::snapshot);
+    }
+
+    List<WorkerStandIn> workers() {
+        List<WorkerStandIn> list = new ArrayList<>();
+        hosts.values().forEach(h -> {
+            if (h.worker != null && !h.worker.gone) {
+                list.add(h.worker);
+            }
+        });
+        return list;
+    }
+
+    /** Spot machines taken back without notice. */
+    void take(WorkerStandIn w) {
+        w.vanish();
+        hosts.remove(w.name);
+    }
+
+    @Override
+    public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
+        if (path.equals("/machine_types")) {
+            ObjectNode r = Codec.object();
+            r.putArray("flavours").addObject().put("sku", "t4").put("cores", CPUS).put("gpus", 0.0).put("ram_gb", 64.0).put("cache_gb", 50.0)
+                    .put("pull_gb_per_s", 1.0).put("price", 1.0).put("market_price", 0.4).put("ready_s", 6.0).putArray("halls").add("a").add("b");
+            reply.accept(new Reply(200, r));
+        } else if (path.equals("/hosts")) {
+            reply.accept(hire(body));
+        } else if (path.equals("/hosts/return")) {
+            for (JsonNode id : body.path("bothies")) {
+                Host h = hosts.remove(id.asText());
+                if (h != null && h.worker != null) {
+                    h.worker.vanish();
+                }
+            }
+            reply.accept(new Reply(200, Codec.object()));
+        } else {
+            long wanted = world.now - world.random.nextInt((int) (2 * LAG_MS));
+            Snapshot s = snapshots.get(0);
+            for (Snapshot other : snapshots) {
+                if (other.at <= wanted) {
+                    s = other;
+                }
+            }
+            // A snapshot is at most twice the lag old.
+            if (s.at < world.now - 2 * LAG_MS) {
+                s = snapshots.get(snapshots.size() - 1);
+            }
+            ObjectNode r = Codec.object().put("truncated", false);
+            r.set("bothies", s.list.deepCopy());
+            reply.accept(new Reply(200, r));
+        }
+    }
+
+    private Reply hire(JsonNode body) {
+        String request = body.path("hire").asText();
+        if (answered.containsKey(request)) {
+            return new Reply(200, answered.get(request));
+        }
+        String kind = body.path("hall").asText() + body.path("lendable").asBoolean();
+        long used = hosts.values().stream().filter(h -> (h.zone + h.spot).equals(kind)).count();
+        int count = (int) Math.min(body.path("number").asInt(), capacity.get(kind) - used);
+        if (count <= 0) {
+            return new Reply(503, Codec.object().put("error", "no capacity"));
+        }
+        ObjectNode r = Codec.object();
+        ArrayNode list = r.putArray("bothies");
+        for (int i = 0; i < count; i++) {
+            String name = String.format("n-%06d", names++);
+            Host h = new Host();
+            h.zone = body.path("hall").asText();
+            h.spot = body.path("lendable").asBoolean();
+            h.born = world.now;
+            hosts.put(name, h);
+            list.add(name);
+            world.at(world.random.nextInt(8_000), () -> {
+                if (hosts.get(name) == h) {
+                    h.worker = boot.apply(name, h);
+                }
+            });
+        }
+        answered.put(request, r);
+        return new Reply(200, r);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -0,0 +1,266 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+
+/** A short day: three controllers, users, machines and faults drawn from a seed, with every rule checked. */
+final class Day {
+    private static final List<String> ZONES = List.of("a", "b");
+    private static final long LEASE_MS = 15_000;
+    private static final double TEAM_CPUS = 40;
+
+    /** A controller's host; processes come and go on it. */
+    private final class Host implements World.Endpoint {
+        final int index;
+        final double rate;
+        World.Process process;
+        Node node;
+
+        Host(int index) {
+            this.index = index;
+            this.rate = clockRate(index);
+        }
+
+        void start() {
+            process = world.new Process("bothy-" + index, rate);
+            node = new Node(process, settings(index), OperatorSettings.defaults());
+            process.after(0, node::start);
+        }
+
+        void crash(long ms) {
+            if (process.dead) {
+                return;
+            }
+            process.dead = true;
+            world.at(ms, this::start);
+        }
+
+        @Override
+        public boolean listens() {
+            return !process.dead;
+        }
+
+        @Override
+        public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
+            World.Process at = process;
+            node.handle(method, path, body == null ? new byte[0] : Codec.write(body, false), a -> {
+                if (!at.dead) {
+                    reply.accept(new Reply(a.status(), a.body()));
+                }
+            });
+        }
+    }
+
+    final World world;
+    final StateStandIn state;
+    final Checker checker;
+    final CloudStandIn cloud;
+    private final List<Host> hosts = new ArrayList<>();
+    private int jobs;
+
+    Day(long seed) {
+        world = new World(seed);
+        state = new StateStandIn(world);
+        checker = new Checker(TEAM_CPUS, 35_000);
+        List<String> nodes = List.of("p0:1", "p1:1", "p2:1");
+        cloud = new CloudStandIn(world, checker, nodes, ZONES, LEASE_MS);
+        world.listen("state:1", state);
+        world.listen("cloud:1", cloud);
+        for (int i = 0; i < 3; i++) {
+            Host h = new Host(i);
+            hosts.add(h);
+            h.start();
+            world.listen("p" + i + ":1", h);
+            world.listen("m" + i + ":1", new World.Endpoint() {
+                @Override
+                public boolean listens() {
+                    return h.listens();
+                }
+
+                @Override
+                public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
+                    World.Process at = h.process;
+                    h.node.handleMesh(method, path, new byte[0], a -> {
+                        if (!at.dead) {
+                            reply.accept(new Reply(a.status(), a.body()));
+                        }
+                    });
+                }
+            });
+        }
+        sweep();
+    }
+
+    private static double clockRate(int index) {
+        return 1 + (index - 1) * 0.0005;
+    }
+
+    private static Settings settings(int index) {
+        List<Settings.Sibling> siblings = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            if (i != index) {
+                siblings.add(new Settings.Sibling("bothy-" + i, "a", "m" + i + ":1"));
+            }
+        }
+        return new Settings("bothy-" + index, "a", "p" + index + ":1", "m" + index + ":1", siblings, "cloud:1", "state:1", ZONES,
+                Map.of("team", new Settings.Team("team", 20, TEAM_CPUS, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150, 60, 8192, 12, 8, 4);
+    }
+
+    private void sweep() {
+        checker.sweep(world.now);
+        world.at(500, this::sweep);
+    }
+
+    // ---- users ----
+
+    void submitSome(int count, long within) {
+        for (int i = 0; i < count; i++) {
+            world.at(world.random.nextInt((int) within), this::submitOne);
+        }
+    }
+
+    private void submitOne() {
+        String id = String.format("req-%06d", jobs++);
+        boolean service = world.random.nextInt(3) == 0;
+        ObjectNode b = Codec.object().put("name_id", id).put("jobkind", service ? "web" : "batch").put("owner", "team")
+                .put("shape", service ? "standing" : "batch").put("rank", service ? "prod" : world.random.nextBoolean() ? "standard" : "low")
+                .put("shards", 1 + world.random.nextInt(6)).put("cores", 1.0 + world.random.nextInt(2)).put("gpus", 0.0).put("ram_gb", 2.0)
+                .put("together", !service && world.random.nextInt(4) == 0).put("spread", service).put("lendable", !service)
+                .put("bundle", "img-" + world.random.nextInt(3)).put("pull_gb", 1.0).put("expect_s", service ? 0.0 : 4.0 + world.random.nextInt(15))
+                .put("bookmark_s", 0.0).put("stow_s", 0.0);
+        checker.submitted.put(id, b);
+        submit(id, b, world.now + 60_000);
+    }
+
+    private String anyNode() {
+        return "p" + world.random.nextInt(3) + ":1";
+    }
+
+    private void submit(String id, ObjectNode b, long until) {
+        world.send("user", new Call(anyNode(), "POST", "/submissions", b, 5_000, false), r -> {
+            if (r.status() == 201 || r.status() == 200) {
+                checker.told(id, r.body().path("status").asText(), world.now);
+                poll(id);
+                if (b.path("shape").asText().equals("standing") || world.random.nextInt(6) == 0) {
+                    world.at(world.random.nextInt(60_000), () -> withdraw(id));
+                }
+                world.at(world.random.nextInt(100_000), () -> again(id, b));
+            } else {
+                checker.refused(id, r.status());
+                if (world.now < until) {
+                    world.at(1_000, () -> submit(id, b, until));
+                }
+            }
+        });
+    }
+
+    /** A late retry of an accepted submission. */
+    private void again(String id, ObjectNode b) {
+        world.send("user", new Call(anyNode(), "POST", "/submissions", b, 5_000, false), r -> {
+            if (r.status() == 200 || r.status() == 201) {
+                checker.told(id, r.body().path("status").asText(), world.now);
+            } else {
+                checker.refused(id, r.status());
+            }
+        });
+    }
+
+    private void poll(String id) {
+        world.send("user", new Call(anyNode(), "GET", "/submissions/" + id, null, 2_000, false), r -> {
+            if (r.status() == 200) {
+                checker.told(id, r.body().path("status").asText(), world.now);
+            } else if (r.status() == 404) {
+                checker.refused(id, 404);
+            }
+            world.at(1_000 + world.random.nextInt(2_000), () -> poll(id));
+        });
+    }
+
+    private void withdraw(String id) {
+        checker.withdrawing(id);
+        world.send("user", new Call(anyNode(), "POST", "/submissions/" + id + "/withdraw", Codec.object(), 5_000, false), r -> {
+            if (r.status() == 200) {
+                checker.told(id, r.body().path("status").asText(), world.now);
+            } else {
+                checker.refused(id, r.status());
+                world.at(1_000, () -> withdraw(id));
+            }
+        });
+    }
+
+    // ---- faults ----
+
+    void drawFaults(int count, long from, long to) {
+        for (int i = 0; i < count; i++) {
+            world.at(from + world.random.nextInt((int) (to - from)), this::fault);
+        }
+    }
+
+    void crash(int node, long ms) {
+        hosts.get(node).crash(ms);
+    }
+
+    void crashAll() {
+        hosts.forEach(h -> h.crash(4_000 + world.random.nextInt(4_000)));
+    }
+
+    private void fault() {
+        List<WorkerStandIn> workers = cloud.workers();
+        WorkerStandIn w = workers.isEmpty() ? null : workers.get(world.random.nextInt(workers.size()));
+        int node = world.random.nextInt(3);
+        long ms = 1_000 + world.random.nextInt(30_000);
+        switch (world.random.nextInt(11)) {
+            case 0, 1 -> crash(node, 2_000 + world.random.nextInt(20_000));
+            case 2 -> crashAll();
+            case 3 -> state.outage(ms);
+            case 4 -> world.cut("bothy-" + node, "state:1", ms);
+            case 5 -> {
+                if (w != null) {
+                    w.hang(ms);
+                }
+            }
+            case 6 -> {
+                if (w != null) {
+                    world.cut("bothy-" + node, w.addr, ms); // direct orders held back, reports go on
+                }
+            }
+            case 7 -> {
+                if (w != null) {
+                    for (int i = 0; i < 3; i++) {
+                        world.cut(w.name, "p" + i + ":1", ms);
+                        world.cut("bothy-" + i, w.addr, ms);
+                    }
+                }
+            }
+            case 8 -> {
+                if (w != null && w.spot) {
+                    cloud.take(w);
+                }
+            }
+            case 9 -> {
+                if (w != null) {
+                    w.sick();
+                }
+            }
+            default -> {
+                world.lateShare = 0.03;
+                world.at(ms, () -> world.lateShare = 0);
+            }
+        }
+    }
+
+    Day play(long ms) {
+        world.runUntil(world.now + ms);
+        return this;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/RulesTest.java
@@ -0,0 +1,88 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The rules on simulated days, and proof that the checker notices when a safeguard is taken away. */
+class RulesTest {
+    private static final int DAYS = 300;
+
+    @Test
+    void aQuietDayRunsEverything() {
+        Day day = new Day(1);
+        day.submitSome(20, 60_000);
+        day.play(200_000);
+        assertEquals(List.of(), day.checker.broken);
+        assertTrue(day.checker.completed > 30, "completed " + day.checker.completed);
+        day.checker.submitted.keySet().forEach(id -> assertTrue(day.checker.isOver(id), id));
+    }
+
+    @Test
+    void drawnDaysWithFaultsKeepTheRules() {
+        int starts = 0;
+        for (int seed = 100; seed < 100 + DAYS; seed++) {
+            Day day = new Day(seed);
+            day.submitSome(25, 120_000);
+            day.drawFaults(10, 20_000, 150_000);
+            day.play(220_000);
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+            starts += day.checker.starts;
+        }
+        assertTrue(starts > DAYS * 30, "the days did little: " + starts);
+    }
+
+    @Test
+    void everyAcceptedJobEndsAfterTheLossOfAllControllers() {
+        Day day = new Day(7);
+        day.submitSome(15, 30_000);
+        day.world.at(35_000, () -> day.state.outage(15_000));
+        day.world.at(40_000, day::crashAll);
+        day.play(300_000);
+        assertEquals(List.of(), day.checker.broken);
+        day.checker.submitted.keySet().forEach(id -> assertTrue(!day.checker.isAccepted(id) || day.checker.isOver(id), id));
+    }
+
+    /** Without the durable machine records a new owner doesn't wait for machines it can't reach. */
+    @Test
+    void theCheckerNoticesAnOwnerThatDoesNotWait() {
+        boolean noticed = false;
+        for (int seed = 1; seed < 40 && !noticed; seed++) {
+            Day day = new Day(seed);
+            day.state.hidden = k -> k.startsWith("h/m/");
+            day.submitSome(25, 40_000);
+            day.world.at(45_000, () -> day.cloud.workers().forEach(w -> {
+                for (int i = 0; i < 3; i++) {
+                    if (day.world.random.nextBoolean()) {
+                        day.world.cut(w.name, "p" + i + ":1", 12_000);
+                    }
+                    day.world.cut("bothy-" + i, w.addr, 12_000);
+                }
+            }));
+            day.world.at(46_000, day::crashAll);
+            day.play(120_000);
+            noticed = day.checker.broken.stream().anyMatch(b -> b.startsWith("ran_twice"));
+        }
+        assertTrue(noticed);
+    }
+
+    /** If holds end before their time, a deposed owner still answers, from what was true once. */
+    @Test
+    void theCheckerNoticesAHoldThatEndsEarly() {
+        boolean noticed = false;
+        for (int seed = 1; seed < 40 && !noticed; seed++) {
+            Day day = new Day(seed);
+            day.state.holdShare = 0.2;
+            day.submitSome(25, 60_000);
+            for (int i = 0; i < 3; i++) {
+                int node = i;
+                day.world.at(30_000 + 30_000 * i, () -> day.world.cut("bothy-" + node, "state:1", 25_000));
+            }
+            day.play(120_000);
+            noticed = !day.checker.broken.isEmpty();
+        }
+        assertTrue(noticed);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/StateStandIn.java
@@ -0,0 +1,223 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+
+/** The state service, written from the protocol. */
+final class StateStandIn implements World.Endpoint {
+    private record Entry(JsonNode data, long stamp, long tenancy) {}
+
+    private static final class Hold {
+        long lifeMs;
+        long ends;
+    }
+
+    private record Watch(String prefix, long from, Consumer<Reply> reply) {}
+
+    private final World world;
+    private final TreeMap<String, Entry> keys = new TreeMap<>();
+    private final Map<Long, Hold> holds = new HashMap<>();
+    private final List<ObjectNode> events = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long epoch;
+    private long tenancies;
+    private boolean down;
+    /** Keys that lists leave out; a test breaks the service's promises with it. */
+    Predicate<String> hidden = k -> false;
+    /** Share of a hold's life after which it ends; below 1 breaks the promise that none ends early. */
+    double holdShare = 1;
+
+    StateStandIn(World world) {
+        this.world = world;
+    }
+
+    void outage(long ms) {
+        down = true;
+        world.at(ms, () -> {
+            down = false;
+            holds.values().forEach(h -> h.ends = world.now + (long) (h.lifeMs * holdShare));
+        });
+    }
+
+    private void expire() {
+        if (down) {
+            return;
+        }
+        for (Long id : new ArrayList<>(holds.keySet())) {
+            if (world.now > holds.get(id).ends) {
+                endHold(id);
+            }
+        }
+    }
+
+    private void endHold(long id) {
+        holds.remove(id);
+        List<String> gone = new ArrayList<>();
+        keys.forEach((k, e) -> {
+            if (e.tenancy == id) {
+                gone.add(k);
+            }
+        });
+        if (!gone.isEmpty()) {
+            epoch++;
+            gone.forEach(k -> {
+                keys.remove(k);
+                events.add(Codec.object().put("drop", k).put("stamp", epoch));
+            });
+            wake();
+        }
+    }
+
+    private void wake() {
+        for (Watch w : new ArrayList<>(watches)) {
+            ObjectNode r = events(w.prefix, w.from);
+            if (!r.path("events").isEmpty()) {
+                watches.remove(w);
+                w.reply.accept(new Reply(200, r));
+            }
+        }
+    }
+
+    private ObjectNode events(String prefix, long from) {
+        ObjectNode r = Codec.object().put("epoch", epoch);
+        ArrayNode list = r.putArray("events");
+        for (ObjectNode e : events) {
+            String key = e.has("put") ? e.get("put").asText() : e.get("drop").asText();
+            if (e.get("stamp").asLong() > from && key.startsWith(prefix)) {
+                list.add(e);
+            }
+        }
+        return r;
+    }
+
+    @Override
+    public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
+        expire();
+        String where = path.contains("?") ? path.substring(0, path.indexOf('?')) : path;
+        Map<String, String> query = new HashMap<>();
+        if (path.contains("?")) {
+            for (String q : path.substring(path.indexOf('?') + 1).split("&")) {
+                query.put(q.substring(0, q.indexOf('=')), q.substring(q.indexOf('=') + 1));
+            }
+        }
+        if (down) {
+            reply.accept(new Reply(503, Codec.object()));
+        } else if (where.equals("/watch")) {
+            long from = Long.parseLong(query.get("from"));
+            ObjectNode now = events(query.get("prefix"), from);
+            if (!now.path("events").isEmpty()) {
+                reply.accept(new Reply(200, now));
+                return;
+            }
+            Watch w = new Watch(query.get("prefix"), from, reply);
+            watches.add(w);
+            world.at(Long.parseLong(query.get("wait_ms")), () -> {
+                if (watches.remove(w)) {
+                    reply.accept(new Reply(200, events(w.prefix, w.from)));
+                }
+            });
+        } else if (where.equals("/keys")) {
+            ObjectNode r = Codec.object().put("epoch", epoch).put("truncated", false);
+            ArrayNode list = r.putArray("entries");
+            int left = Integer.parseInt(query.getOrDefault("page", "1000"));
+            for (Map.Entry<String, Entry> e : keys.tailMap(query.getOrDefault("from", ""), false).entrySet()) {
+                if (e.getKey().startsWith(query.get("prefix")) && !hidden.test(e.getKey())) {
+                    if (left-- == 0) {
+                        r.put("truncated", true);
+                        break;
+                    }
+                    list.addObject().put("key", e.getKey()).put("stamp", e.getValue().stamp).set("data", e.getValue().data);
+                }
+            }
+            reply.accept(new Reply(200, r));
+        } else if (where.startsWith("/keys/")) {
+            Entry e = keys.get(where.substring(6));
+            if (e == null) {
+                reply.accept(new Reply(404, Codec.object().put("epoch", epoch)));
+            } else {
+                ObjectNode r = Codec.object().put("key", where.substring(6)).put("stamp", e.stamp);
+                r.set("data", e.data);
+                if (e.tenancy != 0) {
+                    r.put("tenancy", e.tenancy);
+                }
+                reply.accept(new Reply(200, r));
+            }
+        } else if (where.equals("/commit")) {
+            reply.accept(commit(body));
+        } else if (where.equals("/holds")) {
+            Hold h = new Hold();
+            h.lifeMs = body.get("life_ms").asLong();
+            h.ends = world.now + (long) (h.lifeMs * holdShare);
+            holds.put(++tenancies, h);
+            long id = tenancies;
+            reply.accept(new Reply(200, Codec.object().put("tenancy", id)));
+            tick(id);
+        } else if (where.startsWith("/holds/")) {
+            long id = Long.parseLong(where.split("/")[2]);
+            Hold h = holds.get(id);
+            if (h == null) {
+                reply.accept(new Reply(404, Codec.object()));
+            } else if (method.equals("DELETE")) {
+                endHold(id);
+                reply.accept(new Reply(200, Codec.object()));
+            } else {
+                h.ends = world.now + (long) (h.lifeMs * holdShare);
+                reply.accept(new Reply(200, Codec.object().put("tenancy", id)));
+            }
+        } else {
+            reply.accept(new Reply(400, Codec.object()));
+        }
+    }
+
+    private void tick(long id) {
+        world.at(100, () -> {
+            expire();
+            if (holds.containsKey(id)) {
+                tick(id);
+            }
+        });
+    }
+
+    private Reply commit(JsonNode body) {
+        ArrayNode failed = Codec.array();
+        for (JsonNode c : body.path("when")) {
+            Entry e = keys.get(c.get("key").asText());
+            if ((e == null ? 0 : e.stamp) != c.get("stamp").asLong()) {
+                failed.add(c.get("key").asText());
+            }
+        }
+        for (JsonNode op : body.path("then")) {
+            if (op.has("tenancy") && !holds.containsKey(op.get("tenancy").asLong())) {
+                return new Reply(400, Codec.object().put("error", "no such lease"));
+            }
+        }
+        if (!failed.isEmpty()) {
+            ObjectNode r = Codec.object().put("epoch", epoch);
+            r.set("failed", failed);
+            return new Reply(409, r);
+        }
+        epoch++;
+        for (JsonNode op : body.path("then")) {
+            if (op.has("put")) {
+                keys.put(op.get("put").asText(), new Entry(op.get("data"), epoch, op.path("tenancy").asLong(0)));
+                ObjectNode e = Codec.object().put("put", op.get("put").asText()).put("stamp", epoch);
+                e.set("data", op.get("data"));
+                events.add(e);
+            } else if (keys.remove(op.get("drop").asText()) != null) {
+                events.add(Codec.object().put("drop", op.get("drop").asText()).put("stamp", epoch));
+            }
+        }
+        world.at(0, this::wake);
+        return new Reply(200, Codec.object().put("epoch", epoch));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -0,0 +1,291 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+
+/** A worker, written from the protocol: reports, leases, tokens, images, orders late and repeated. */
+final class WorkerStandIn implements World.Endpoint {
+    private static final class Task {
+        String status = "fetching";
+        String cause;
+        long generation;
+    }
+
+    final String name;
+    final String addr;
+    final String zone;
+    final boolean spot;
+    private final World world;
+    private final Checker checker;
+    private final List<String> nodes;
+    private final long leaseMs;
+    private final double cpus;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Set<String> images = new HashSet<>();
+    private final List<Runnable> frozen = new ArrayList<>();
+    boolean gone;
+    private boolean hung;
+    private boolean sick;
+    private int node;
+    private long tenure = 1;
+    private long tick;
+    private long baton;
+    private long renewedAt;
+    private boolean reporting;
+    private long lastReport;
+    Double notice;
+
+    WorkerStandIn(World world, Checker checker, List<String> nodes, String name, String addr, String zone, boolean spot, double cpus, long leaseMs) {
+        this.world = world;
+        this.checker = checker;
+        this.nodes = nodes;
+        this.name = name;
+        this.addr = addr;
+        this.zone = zone;
+        this.spot = spot;
+        this.cpus = cpus;
+        this.leaseMs = leaseMs;
+        this.renewedAt = world.now;
+        this.node = world.random.nextInt(nodes.size());
+        loop();
+    }
+
+    /** Whatever the machine does waits while it hangs, and is lost when it is gone. */
+    private void later(long ms, Runnable run) {
+        world.at(ms, () -> act(run));
+    }
+
+    private void act(Runnable run) {
+        if (gone) {
+            return;
+        }
+        if (hung) {
+            frozen.add(run);
+        } else {
+            checkLease();
+            run.run();
+        }
+    }
+
+    void hang(long ms) {
+        hung = true;
+        world.at(ms, () -> {
+            hung = false;
+            List<Runnable> list = new ArrayList<>(frozen);
+            frozen.clear();
+            list.forEach(this::act);
+        });
+    }
+
+    void sick() {
+        sick = true;
+    }
+
+    void vanish() {
+        gone = true;
+        tasks.keySet().forEach(k -> checker.left(taskOf(k), this));
+        tasks.clear();
+    }
+
+    @Override
+    public boolean listens() {
+        return !gone;
+    }
+
+    private static String taskOf(String key) {
+        return key.substring(0, key.indexOf('#'));
+    }
+
+    private void checkLease() {
+        if (world.now - renewedAt > leaseMs) {
+            tasks.forEach((k, t) -> {
+                t.generation = -1;
+                checker.left(taskOf(k), this);
+            });
+            tasks.clear();
+            tenure++;
+            renewedAt = world.now;
+        }
+    }
+
+    private void loop() {
+        later(200, () -> {
+            if (!reporting && world.now - lastReport > 2_250 + world.random.nextInt(1_500)) {
+                report();
+            }
+            loop();
+        });
+    }
+
+    private void changed() {
+        later(Math.max(0, 500 - (world.now - lastReport)), () -> {
+            if (!reporting) {
+                report();
+            }
+        });
+    }
+
+    private ObjectNode describe() {
+        ObjectNode b = Codec.object().put("bothy", name).put("addr", addr).put("flavour", "t4").put("hall", zone).put("lendable", spot)
+                .put("tenure", tenure).put("tick", ++tick).put("baton", baton);
+        if (notice != null) {
+            b.put("warning_s", notice);
+        }
+        ArrayNode list = b.putArray("shards");
+        tasks.forEach((k, t) -> {
+            ObjectNode n = list.addObject().put("shard", taskOf(k)).put("try", Long.parseLong(k.substring(k.indexOf('#') + 1))).put("status", t.status);
+            if (t.cause != null) {
+                n.put("cause", t.cause);
+            }
+        });
+        return b;
+    }
+
+    private void report() {
+        reporting = true;
+        lastReport = world.now;
+        long sent = world.now;
+        long session = tenure;
+        world.send(name, new Call(nodes.get(node), "POST", "/hello", describe(), 4_000, false), r -> act(() -> {
+            reporting = false;
+            if (r.status() == 200 && tenure == session && world.now - sent <= 4_000 && r.body().path("baton").asLong() >= baton) {
+                boolean higher = r.body().path("baton").asLong() > baton;
+                baton = r.body().path("baton").asLong();
+                renewedAt = sent;
+                execute(r.body().path("orders"));
+                if (higher) {
+                    changed();
+                }
+            } else if (r.status() == 421 && r.body().path("foreman").isTextual()) {
+                int next = Integer.parseInt(r.body().path("foreman").asText().substring("bothy-".length()));
+                if (next == node) {
+                    node = (node + 1) % nodes.size();
+                }
+                node = next;
+                later(300, () -> lastReport = 0);
+            } else if (r.status() != 200) {
+                node = (node + 1) % nodes.size();
+                later(1_000, () -> lastReport = 0);
+            }
+        }));
+    }
+
+    private void execute(JsonNode orders) {
+        for (JsonNode o : orders) {
+            String task = o.path("shard").asText();
+            String key = task + "#" + o.path("try").asLong();
+            Task t = tasks.get(key);
+            switch (o.path("verb").asText()) {
+                case "launch" -> {
+                    if (t == null) {
+                        launch(task, key);
+                    }
+                }
+                case "kill" -> {
+                    if (t != null && !t.status.equals("exited")) {
+                        exit(key, t, "stopped");
+                    }
+                }
+                case "clear" -> {
+                    if (t != null && t.status.equals("exited")) {
+                        tasks.remove(key);
+                    }
+                }
+                default -> throw new AssertionError("unknown order " + o);
+            }
+        }
+    }
+
+    private void launch(String task, String key) {
+        Task t = new Task();
+        JsonNode spec = checker.submitted.get(task.substring(0, task.indexOf('/')));
+        double used = spec.path("cores").asDouble();
+        for (Map.Entry<String, Task> e : tasks.entrySet()) {
+            if (!e.getValue().status.equals("exited")) {
+                if (taskOf(e.getKey()).equals(task)) {
+                    refuse(key, t, "busy");
+                    return;
+                }
+                used += checker.submitted.get(job(e.getKey())).path("cores").asDouble();
+            }
+        }
+        if (used > cpus + 1e-6) {
+            refuse(key, t, "full");
+            return;
+        }
+        tasks.put(key, t);
+        String image = spec.path("bundle").asText();
+        later(images.contains(image) ? 0 : 2_000 + world.random.nextInt(3_000), () -> {
+            if (tasks.get(key) == t && t.status.equals("fetching")) {
+                images.add(image);
+                t.status = "running";
+                checker.started(task, this, world.now);
+                changed();
+                if (sick) {
+                    later(500, () -> end(key, t, "error"));
+                } else if (spec.path("shape").asText().equals("batch")) {
+                    later((long) (spec.path("expect_s").asDouble() * (500 + world.random.nextInt(1_000))), () -> end(key, t, "done"));
+                }
+            }
+        });
+    }
+
+    private static String job(String key) {
+        return key.substring(0, key.indexOf('/'));
+    }
+
+    private void refuse(String key, Task t, String why) {
+        t.status = "exited";
+        t.cause = why;
+        tasks.put(key, t);
+        changed();
+    }
+
+    private void end(String key, Task t, String cause) {
+        if (tasks.get(key) == t && t.status.equals("running")) {
+            if (cause.equals("done")) {
+                checker.completed(taskOf(key));
+            }
+            exit(key, t, cause);
+        }
+    }
+
+    private void exit(String key, Task t, String cause) {
+        if (t.status.equals("running")) {
+            checker.left(taskOf(key), this);
+        }
+        t.status = "exited";
+        t.cause = cause;
+        changed();
+    }
+
+    @Override
+    public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
+        act(() -> {
+            if (path.equals("/inspect")) {
+                reply.accept(new Reply(200, describe()));
+            } else if (body.path("baton").asLong() < baton || body.path("tenure").asLong() != tenure) {
+                reply.accept(new Reply(409, describe()));
+            } else {
+                boolean higher = body.path("baton").asLong() > baton;
+                baton = body.path("baton").asLong();
+                execute(body.path("orders"));
+                if (higher) {
+                    changed();
+                }
+                reply.accept(new Reply(200, describe()));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -0,0 +1,163 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+
+/** Simulated time and network. Cuts hold messages back and deliver them late, or lose them. */
+final class World {
+    /** Something with an address. */
+    interface Endpoint {
+        void request(String method, String path, JsonNode body, Consumer<Reply> reply);
+
+        /** False refuses connections. */
+        default boolean listens() {
+            return true;
+        }
+    }
+
+    private record Event(long at, long seq, Runnable run) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(seq, o.seq);
+        }
+    }
+
+    final Random random;
+    long now = 1_000;
+    private long seq;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private final Set<String> cut = new HashSet<>();
+    private final Map<String, List<Runnable>> held = new HashMap<>();
+    /** Chance that a delivered request is kept back and executed up to a minute later, its answer lost. */
+    double lateShare;
+
+    World(long seed) {
+        random = new Random(seed);
+    }
+
+    void at(long ms, Runnable run) {
+        events.add(new Event(now + Math.max(0, ms), seq++, run));
+    }
+
+    void runUntil(long end) {
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event e = events.poll();
+            now = e.at;
+            e.run.run();
+        }
+        now = end;
+    }
+
+    void listen(String address, Endpoint endpoint) {
+        endpoints.put(address, endpoint);
+    }
+
+    private static String link(String a, String b) {
+        return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+    }
+
+    void cut(String a, String b, long ms) {
+        String link = link(a, b);
+        cut.add(link);
+        at(ms, () -> {
+            cut.remove(link);
+            List<Runnable> late = held.remove(link);
+            if (late != null) {
+                late.forEach(Runnable::run);
+            }
+        });
+    }
+
+    /** Sends a request from one host to an address; the reply comes exactly once. */
+    void send(String from, Call call, Consumer<Reply> reply) {
+        boolean[] over = {false};
+        Consumer<Reply> once = r -> {
+            if (!over[0]) {
+                over[0] = true;
+                reply.accept(r);
+            }
+        };
+        String link = link(from, call.address());
+        Endpoint e = endpoints.get(call.address());
+        if (e == null || !e.listens()) {
+            at(1, () -> once.accept(Reply.notSent()));
+            return;
+        }
+        at(call.timeoutMs(), () -> once.accept(Reply.noAnswer()));
+        long latency = 1 + random.nextInt(5);
+        Runnable deliver = () -> {
+            if (!e.listens()) {
+                return;
+            }
+            e.request(call.method(), call.path(), call.body(), r -> {
+                Runnable answer = () -> at(1 + random.nextInt(5), () -> once.accept(r));
+                if (cut.contains(link)) {
+                    held.computeIfAbsent(link, k -> new ArrayList<>()).add(answer);
+                } else {
+                    answer.run();
+                }
+            });
+        };
+        if (cut.contains(link)) {
+            held.computeIfAbsent(link, k -> new ArrayList<>()).add(deliver);
+        } else if (lateShare > 0 && !call.path().startsWith("/watch") && random.nextDouble() < lateShare) {
+            at(random.nextInt(60_000), deliver);
+        } else {
+            at(latency, () -> {
+                if (cut.contains(link)) {
+                    held.computeIfAbsent(link, k -> new ArrayList<>()).add(deliver);
+                } else {
+                    deliver.run();
+                }
+            });
+        }
+    }
+
+    /** The runtime of one process; once it is killed nothing of it runs any more. */
+    final class Process implements Runtime {
+        private final String host;
+        /** How fast this process's steady clock runs. */
+        private final double rate;
+        boolean dead;
+
+        Process(String host, double rate) {
+            this.host = host;
+            this.rate = rate;
+        }
+
+        @Override
+        public long now() {
+            return (long) (now * rate);
+        }
+
+        @Override
+        public void after(long ms, Runnable task) {
+            at((long) (ms / rate), () -> {
+                if (!dead) {
+                    task.run();
+                }
+            });
+        }
+
+        @Override
+        public void call(Call call, Consumer<Reply> reply) {
+            send(host, call, r -> {
+                if (!dead) {
+                    reply.accept(r);
+                }
+            });
+        }
+    }
+}
