--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -107,7 +107,15 @@
 
     // ---- fleet ----
     /** Milliseconds an idle machine is kept; a return costs a boot later, and 60 s are charged anyway. */
-    public static final long IDLE_MS = 45_000;
+    public static final long IDLE_MS = 30_000;
+    /** Seconds over which the mean arriving work is followed: a few jobs' worth. */
+    public static final double LOAD_WINDOW_S = 120;
+    /** Room kept for arrays, as a multiple of the mean arriving work: jobs come in bunches. */
+    public static final double LOAD_HEADROOM = 1.4;
+    /** Seconds within which work that waits should be caught up once new machines are up. */
+    public static final double CATCH_UP_S = 25;
+    /** Weight of the newest finished task in the ratio of run time to estimate. */
+    public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
     public static final long NO_CAPACITY_MS = 12_000;
     /** Machines in one rental request at most, from the protocol. */
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -561,7 +561,7 @@
         if (!listedOnce || now - startedAt < settings.listLagS() * 2000 && startedWithMachines()) {
             return; // machines that an earlier owner rented may not be listed yet
         }
-        Fleet.Plan plan = fleet.plan(scheduler.jobs.values(), scheduler.machines.values(), types, settings.zones(), now);
+        Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
         for (Fleet.Rent rent : plan.rents()) {
             if (!hiring.containsKey(rent.kind())) {
                 hire(rent.kind(), new Hire(settings.node() + "-" + baton + "-" + hires++, rent.count()));
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -31,6 +31,9 @@
     private final double firstShare;
     private final long termStart;
     private long attempts;
+    private double arrivedWork;
+    /** By class of jobs: how the run times of finished tasks compare with the estimates. */
+    private final Map<String, Double> runRatio = new HashMap<>();
 
     public final Map<String, Job> jobs = new LinkedHashMap<>();
     public final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -62,11 +65,26 @@
         if (job == null) {
             job = new Job(spec, order, under, now);
             jobs.put(spec.id(), job);
+            if (!spec.service()) {
+                arrivedWork += spec.tasks() * spec.cpus() * expectedRunS(job);
+            }
             passWanted = true;
         }
         return job;
     }
 
+    /** Array work, in core-seconds, that arrived since the last call. */
+    public double takeArrivedWork() {
+        double work = arrivedWork;
+        arrivedWork = 0;
+        return work;
+    }
+
+    /** The owner's estimate, corrected by how those of its class have been wrong so far. */
+    public double expectedRunS(Job job) {
+        return Math.max(1, job.spec.estimateS()) * runRatio.getOrDefault(job.spec.jobClass(), 1.0);
+    }
+
     /** The abort is durable: nothing of the job may start from here on, and all of it goes. */
     public void abort(Job job) {
         job.status = Job.Status.ABORTED;
@@ -322,6 +340,10 @@
                 progressDirty.add(job);
                 double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : job.spec.estimateS();
                 job.partialSize += ran;
+                if (p.runningAt > 0) {
+                    runRatio.merge(job.spec.jobClass(), ran / Math.max(1, job.spec.estimateS()),
+                            (old, newest) -> old + Constants.RUN_RATIO_WEIGHT * (newest - old));
+                }
                 for (Job mover : Tyrex.movers(jobs.values())) {
                     mover.moved = true;
                     mover.partialSize = 0;
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -12,6 +12,7 @@
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Placement;
 
@@ -27,6 +28,8 @@
     private final OperatorSettings operator;
     /** Until when a kind isn't asked for, after the cloud refused it. */
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
+    private double load;
+    private long loadAt;
 
     public Fleet(OperatorSettings operator) {
         this.operator = operator;
@@ -36,38 +39,22 @@
         refusedUntil.put(kind, now + Constants.NO_CAPACITY_MS);
     }
 
-    public Plan plan(Collection<Job> jobs, Collection<Machine> machines, Map<String, MachineType> types, List<String> zones, long now) {
-        Map<String, Double> serviceCores = new HashMap<>();
-        double arrayCores = 0;
-        Job arraySample = null;
-        Job serviceSample = null;
-        for (Job job : jobs) {
-            if (job.status != Job.Status.LIVE) {
-                continue;
-            }
-            JobSpec s = job.spec;
-            double pendingCores = job.failures > 2 ? 0 : job.pending.cardinality() * s.cpus();
-            if (s.service() || !s.spot()) {
-                serviceSample = job;
-                for (Placement p : job.live.values()) {
-                    serviceCores.merge(p.machine.zone, s.cpus(), Double::sum);
-                }
-                for (String zone : zones) {
-                    if (s.zone() == null || s.zone().equals(zone)) {
-                        serviceCores.merge(zone, pendingCores / (s.zone() == null ? zones.size() : 1), Double::sum);
-                    }
-                }
-            } else {
-                arrayCores += pendingCores + job.live.size() * s.cpus();
-                if (arraySample == null || pendingCores > 0) {
-                    arraySample = job;
-                }
-            }
-        }
-        Map<String, Double> ordinary = new HashMap<>();
+    /** What there is to do and to do it with, in cores and core-seconds. */
+    private static final class Demand {
+        final Map<String, Double> serviceCores = new HashMap<>();
+        double arrayWork;
+        boolean arraysWait;
+        Job service;
+        Job array;
+    }
+
+    public Plan plan(Scheduler scheduler, Map<String, MachineType> types, List<String> zones, long now) {
+        Demand demand = demand(scheduler, zones, now);
+        follow(scheduler.takeArrivedWork(), now);
         double spotCores = 0;
         double ordinaryCores = 0;
-        for (Machine m : machines) {
+        Map<String, Double> ordinary = new HashMap<>();
+        for (Machine m : scheduler.machines.values()) {
             if (m.returning || m.draining || m.faulty) {
                 continue;
             }
@@ -82,30 +69,74 @@
         double serviceNeed = 0;
         Map<String, Double> spare = new HashMap<>();
         for (String zone : zones) {
-            double need = serviceCores.getOrDefault(zone, 0.0) + (serviceSample == null ? 0 : operator.warmCores());
+            double need = demand.serviceCores.getOrDefault(zone, 0.0) + (demand.service == null ? 0 : operator.warmCores());
             serviceNeed += need;
-            double short_ = need - ordinary.getOrDefault(zone, 0.0);
-            spare.put(zone, -short_);
-            if (short_ > 0 && serviceSample != null) {
-                Rent rent = pick(serviceSample.spec, types, List.of(zone), false, short_, now);
+            double missing = need - ordinary.getOrDefault(zone, 0.0);
+            spare.put(zone, -missing);
+            if (missing > 0 && demand.service != null) {
+                Rent rent = pick(demand.service.spec, types, List.of(zone), false, missing, now);
                 if (rent != null) {
                     rents.add(rent);
                     ordinaryCores += rent.count() * types.get(rent.kind().type()).cpus();
                 }
             }
         }
-        double arraySupply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
-        double arrayShort = arrayCores - arraySupply;
-        if (arrayShort > 0 && arraySample != null) {
-            Rent rent = pick(arraySample.spec, types, zones, true, arrayShort, now);
-            if (rent == null) {
-                rent = pick(arraySample.spec, types, zones, false, arrayShort, now);
+        double supply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
+        double base = load * Constants.LOAD_HEADROOM;
+        if (demand.array != null) {
+            double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
+            // A machine rented now helps only with what still waits when it is up.
+            double late = demand.arraysWait ? (demand.arrayWork + (load - supply) * bootS) / Constants.CATCH_UP_S : 0;
+            Rent rent = Math.max(late, base - supply) <= 0 ? null : pick(demand.array.spec, types, zones, true, Math.max(late, base - supply), now);
+            if (rent == null && late > 0) {
+                rent = pick(demand.array.spec, types, zones, false, late, now);
             }
             if (rent != null) {
                 rents.add(rent);
             }
         }
-        return new Plan(rents, returns(machines, spare, -arrayShort, now));
+        return new Plan(rents, returns(scheduler.machines.values(), spare, supply - base, now));
+    }
+
+    private static Demand demand(Scheduler scheduler, List<String> zones, long now) {
+        Demand d = new Demand();
+        for (Job job : scheduler.jobs.values()) {
+            JobSpec s = job.spec;
+            int pending = job.failures > 2 ? 0 : job.pending.cardinality(); // a job that fails everywhere rents nothing
+            if (s.service() || !s.spot()) {
+                d.service = job;
+                for (Placement p : job.live.values()) {
+                    d.serviceCores.merge(p.machine.zone, s.cpus(), Double::sum);
+                }
+                for (String zone : zones) {
+                    if (s.zone() == null || s.zone().equals(zone)) {
+                        d.serviceCores.merge(zone, pending * s.cpus() / (s.zone() == null ? zones.size() : 1), Double::sum);
+                    }
+                }
+                continue;
+            }
+            double runs = scheduler.expectedRunS(job);
+            d.arrayWork += pending * s.cpus() * runs;
+            for (Placement p : job.live.values()) {
+                double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : 0;
+                d.arrayWork += s.cpus() * Math.max(runs - ran, runs * 0.1);
+            }
+            d.arraysWait |= pending > 0;
+            if (d.array == null || pending > 0) {
+                d.array = job;
+            }
+        }
+        return d;
+    }
+
+    /** Follows the mean of arriving array work, in cores. */
+    private void follow(double arrivedWork, long now) {
+        double s = Math.max(0.001, (now - loadAt) / 1000.0);
+        if (loadAt > 0) {
+            double weight = Math.min(1, s / Constants.LOAD_WINDOW_S);
+            load += weight * (arrivedWork / s - load);
+        }
+        loadAt = now;
     }
 
     /** The kind with the cheapest core that the job may use and the cloud didn't just refuse. */
