--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -113,7 +113,7 @@
     /** Room kept for arrays, as a multiple of the mean arriving work: jobs come in bunches. */
     public static final double LOAD_HEADROOM = 1.4;
     /** Seconds within which work that waits should be caught up once new machines are up. */
-    public static final double CATCH_UP_S = 25;
+    public static final double CATCH_UP_S = 40;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -86,7 +86,8 @@
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             // A machine rented now helps only with what still waits when it is up.
-            double late = demand.arraysWait ? (demand.arrayWork + (load - supply) * bootS) / Constants.CATCH_UP_S : 0;
+            double late = demand.arraysWait
+                    ? (demand.arrayWork + load * bootS - supply * (bootS + Constants.CATCH_UP_S)) / Constants.CATCH_UP_S : 0;
             Rent rent = Math.max(late, base - supply) <= 0 ? null : pick(demand.array.spec, types, zones, true, Math.max(late, base - supply), now);
             if (rent == null && late > 0) {
                 rent = pick(demand.array.spec, types, zones, false, late, now);
