--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -109,9 +109,9 @@
     /** Milliseconds an idle machine is kept; a return costs a boot later, and 60 s are charged anyway. */
     public static final long IDLE_MS = 30_000;
     /** Seconds over which the mean arriving work is followed: a few jobs' worth. */
-    public static final double LOAD_WINDOW_S = 120;
+    public static final double LOAD_WINDOW_S = 240;
     /** Room kept for arrays, as a multiple of the mean arriving work: jobs come in bunches. */
-    public static final double LOAD_HEADROOM = 1.4;
+    public static final double LOAD_HEADROOM = 1.0;
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -28,6 +28,9 @@
     private final OperatorSettings operator;
     /** Until when a kind isn't asked for, after the cloud refused it. */
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
+    private double mean;
+    /** How much of the window has been seen; corrects the mean while it is young. */
+    private double seen;
     private double load;
     private long loadAt;
 
@@ -87,7 +90,7 @@
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             // A machine rented now helps only with what still waits when it is up.
             double late = demand.arraysWait
-                    ? (demand.arrayWork + load * bootS - supply * (bootS + Constants.CATCH_UP_S)) / Constants.CATCH_UP_S : 0;
+                    ? (demand.arrayWork - supply * (bootS + Constants.CATCH_UP_S)) / Constants.CATCH_UP_S : 0;
             Rent rent = Math.max(late, base - supply) <= 0 ? null : pick(demand.array.spec, types, zones, true, Math.max(late, base - supply), now);
             if (rent == null && late > 0) {
                 rent = pick(demand.array.spec, types, zones, false, late, now);
@@ -135,7 +138,9 @@
         double s = Math.max(0.001, (now - loadAt) / 1000.0);
         if (loadAt > 0) {
             double weight = Math.min(1, s / Constants.LOAD_WINDOW_S);
-            load += weight * (arrivedWork / s - load);
+            seen += weight * (1 - seen);
+            mean += weight * (arrivedWork / s - mean);
+            load = mean / seen;
         }
         loadAt = now;
     }
