A new baton ends launches in doubt of cancelled jobs; stand-in ends tasks with the lease

The owner now writes the roster again after 15 s: the newer token makes workers refuse it. Ruled out: killing ahead, since a kill before the launch does nothing.

--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -97,7 +97,8 @@
                 return;
             }
             state.setOwner(true);
-            term = new Term(baton, runtime, settings, operator, view, state, cloud, workers, types, () -> membership.entitled(baton));
+            term = new Term(baton, runtime, settings, operator, view, state, cloud, workers, types, () -> membership.entitled(baton),
+                    () -> membership.fence(baton));
             term.start();
         }
         membership.claimIfFree();
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -193,14 +193,26 @@
             if (leader != null && !leader.equals(settings.node())) {
                 txn.when(Keys.member(leader), view.stamp(Keys.member(leader)));
             }
-            ObjectNode roster = Codec.object().put("leader", settings.node()).put("member", memberStamp);
-            state.commitNow(txn.put(Keys.ROSTER, roster), r -> {
-                LOG.info("claimed the lead status={} was={}", r.status(), leader);
-                // The watch brings the outcome, whatever the answer was.
-                runtime.after(r.ok() || r.status() == 409 ? 200 : Constants.RENEW_RETRY_MS, () -> {
-                    claiming = false;
-                    claimIfFree();
-                });
+            write(txn, leader == null ? "first" : "after " + leader);
+        });
+    }
+
+    /** Writes the roster again, as it is: its new stamp is a new baton, under which no older order is executed any more. */
+    public void fence(long baton) {
+        if (!claiming && entitled(baton)) {
+            claiming = true;
+            write(new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.member(settings.node()), memberStamp), "a fence");
+        }
+    }
+
+    private void write(StateClient.Txn txn, String why) {
+        ObjectNode roster = Codec.object().put("leader", settings.node()).put("member", memberStamp);
+        state.commitNow(txn.put(Keys.ROSTER, roster), r -> {
+            LOG.info("roster written status={} why={}", r.status(), why);
+            // The watch brings the outcome, whatever the answer was.
+            runtime.after(r.ok() || r.status() == 409 ? 200 : Constants.RENEW_RETRY_MS, () -> {
+                claiming = false;
+                claimIfFree();
             });
         });
     }
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -22,6 +22,9 @@
     /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
     public static final int ATTEMPT_BITS = 20;
 
+    /** Milliseconds after a cancellation until a launch still under way calls for a new baton; a third of the time to be gone. */
+    public static final long FENCE_MS = 15_000;
+
     // ---- calls ----
     /** Milliseconds for a call to the state service; normal answers take 10 ms, a few hundred at times. */
     public static final long STATE_TIMEOUT_MS = 2_000;
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -55,6 +55,7 @@
     private final CloudClient cloud;
     private final WorkerClient workers;
     private final BooleanSupplier entitled;
+    private final Runnable fence;
     private final Map<String, MachineType> types;
     private final Fleet fleet;
     private final long startedAt;
@@ -80,7 +81,7 @@
     private record Hire(String name, int count) {}
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, StateClient state, CloudClient cloud,
-            WorkerClient workers, Map<String, MachineType> types, BooleanSupplier entitled) {
+            WorkerClient workers, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
@@ -91,6 +92,7 @@
         this.workers = workers;
         this.types = types;
         this.entitled = entitled;
+        this.fence = fence;
         this.fleet = new Fleet(operator);
         this.startedAt = runtime.now();
         this.lastTick = startedAt;
@@ -185,7 +187,7 @@
     private void over(Job job, String status) {
         scheduler.jobs.remove(job.spec.id());
         if (status.equals(Records.ABORTED)) {
-            scheduler.abort(job);
+            scheduler.abort(job, runtime.now());
         } else {
             scheduler.close(job);
         }
@@ -337,6 +339,9 @@
                 silence(now);
                 rentAndReturn(now);
                 contactUnheard();
+                if (scheduler.fenceDue(now)) {
+                    fence.run();
+                }
             }
             if (now >= nextSummary) {
                 nextSummary = now + Constants.SUMMARY_MS;
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -16,6 +16,7 @@
     public final long under;
     public final long arrivedAt;
     public Status status = Status.LIVE;
+    public long abortedAt;
     public final BitSet done = new BitSet();
     /** Progress that is durable already. */
     public BitSet committed = new BitSet();
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -86,8 +86,9 @@
     }
 
     /** The abort is durable: nothing of the job may start from here on, and all of it goes. */
-    public void abort(Job job) {
+    public void abort(Job job, long now) {
         job.status = Job.Status.ABORTED;
+        job.abortedAt = now;
         job.pending.clear();
         for (Placement p : new ArrayList<>(job.live.values())) {
             stop(p, 0);
@@ -553,9 +554,22 @@
         ordersDirty.add(m);
     }
 
-    /** Whether attempt numbers are nearly used up, so that a new baton is due. */
-    public boolean exhausted() {
-        return attempts > (1L << Constants.ATTEMPT_BITS) - 10_000;
+    /**
+     * Whether a new baton is due: a cancelled task's direct launch has been under way for so long that it might be executed
+     * after the job's time to be gone, and only a newer token makes workers refuse it; or attempt numbers are nearly used up.
+     */
+    public boolean fenceDue(long now) {
+        if (attempts > (1L << Constants.ATTEMPT_BITS) - 10_000) {
+            return true;
+        }
+        for (Machine m : machines.values()) {
+            for (Placement p : m.placements.values()) {
+                if (p.job.status == Job.Status.ABORTED && p.state == State.SENT && p.directDoubt && now - p.job.abortedAt > Constants.FENCE_MS) {
+                    return true;
+                }
+            }
+        }
+        return false;
     }
 
     /** Counts every task of the team that may be anywhere. */
--- a/src/test/java/org/hollypick/sim/WorkerStandIn.java
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -59,6 +59,17 @@
         this.renewedAt = world.now;
         this.node = world.random.nextInt(nodes.size());
         loop();
+        watchLease();
+    }
+
+    /** Tasks end with the lease even on a machine that hangs. */
+    private void watchLease() {
+        world.at(100, () -> {
+            if (!gone) {
+                checkLease();
+                watchLease();
+            }
+        });
     }
 
     /** Whatever the machine does waits while it hangs, and is lost when it is gone. */
