--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -110,13 +110,17 @@
 
     // ---- fleet ----
     /** Milliseconds an idle machine is kept; a return costs a boot later, and 60 s are charged anyway. */
-    public static final long IDLE_MS = 30_000;
+    public static final long IDLE_MS = 45_000;
+    /** Milliseconds an idle ordinary machine is kept: it costs two and a half times a spot one. */
+    public static final long IDLE_ORDINARY_MS = 15_000;
     /** Seconds over which the mean arriving work is followed: a few jobs' worth. */
     public static final double LOAD_WINDOW_S = 240;
     /** Room kept for arrays, as a multiple of the mean arriving work: jobs come in bunches. */
     public static final double LOAD_HEADROOM = 1.0;
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
+    /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
+    public static final double CATCH_UP_ORDINARY_S = 90;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -88,12 +88,11 @@
         double base = load * Constants.LOAD_HEADROOM;
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
-            // A machine rented now helps only with what still waits when it is up.
-            double late = demand.arraysWait
-                    ? (demand.arrayWork - supply * (bootS + Constants.CATCH_UP_S)) / Constants.CATCH_UP_S : 0;
-            Rent rent = Math.max(late, base - supply) <= 0 ? null : pick(demand.array.spec, types, zones, true, Math.max(late, base - supply), now);
-            if (rent == null && late > 0) {
-                rent = pick(demand.array.spec, types, zones, false, late, now);
+            double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
+            Rent rent = spot <= 0 ? null : pick(demand.array.spec, types, zones, true, spot, now);
+            double ordinaryNeed = late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S);
+            if (rent == null && ordinaryNeed > 0) {
+                rent = pick(demand.array.spec, types, zones, false, ordinaryNeed, now);
             }
             if (rent != null) {
                 rents.add(rent);
@@ -102,6 +101,11 @@
         return new Plan(rents, returns(scheduler.machines.values(), spare, supply - base, now));
     }
 
+    /** Cores missing to have today's work done a while after new machines are up; sooner than that they can't help. */
+    private static double late(Demand demand, double supply, double bootS, double catchUpS) {
+        return demand.arraysWait ? (demand.arrayWork - supply * (bootS + catchUpS)) / catchUpS : 0;
+    }
+
     private static Demand demand(Scheduler scheduler, List<String> zones, long now) {
         Demand d = new Demand();
         for (Job job : scheduler.jobs.values()) {
@@ -181,7 +185,7 @@
                 if (m.idle() || now - m.faultySince > Constants.FAULTY_LEAVE_MS) {
                     out.add(m);
                 }
-            } else if (m.up && m.idle() && !m.draining && now - m.idleSince > operator.idleMs()) {
+            } else if (m.up && m.idle() && !m.draining && now - m.idleSince > (m.spot ? operator.idleMs() : Constants.IDLE_ORDINARY_MS)) {
                 idle.add(m);
             }
         }
