--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -120,7 +120,7 @@
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
-    public static final double CATCH_UP_ORDINARY_S = 90;
+    public static final double CATCH_UP_ORDINARY_S = 50;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
