--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -99,12 +99,16 @@
     /** Milliseconds a task waits after a failure, doubled each time its job fails, up to the maximum. */
     public static final long TASK_BACKOFF_MS = 1_000;
     public static final long TASK_BACKOFF_MAX_MS = 30_000;
-    /** Milliseconds without a report after which a machine is returned: two and a half report intervals and a retry. */
-    public static final long SILENT_MS = 9_000;
+    /** Milliseconds without a report after which a machine is asked directly: reports come every 3 s, give or take a quarter. */
+    public static final long PROBE_MS = 4_000;
+    /** Milliseconds without any word from a machine, a direct question left unanswered, after which it is returned. */
+    public static final long SILENT_MS = 6_000;
     /** Share of machines that may be silent before silence is taken to be this node's own trouble. */
     public static final double SILENT_SHARE = 0.34;
-    /** Milliseconds after takeover before silence counts: workers need time to find the new owner. */
-    public static final long SILENT_GRACE_MS = 9_000;
+    /** Milliseconds after takeover before silence counts: every machine is asked at once, twice and more. */
+    public static final long SILENT_GRACE_MS = 4_500;
+    /** Milliseconds a machine may be listed as running without a first report. */
+    public static final long NEVER_REPORTED_MS = 20_000;
     /** Multiple of the usual boot time after which a machine that never reported is returned. */
     public static final double BOOT_PATIENCE = 4.0;
 
@@ -120,7 +124,7 @@
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
-    public static final double CATCH_UP_ORDINARY_S = 50;
+    public static final double CATCH_UP_ORDINARY_S = 40;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -495,6 +495,7 @@
                     }
                 }
             } else {
+                m.unansweredSince = runtime.now();
                 LOG.debug("order unanswered machine={} status={}", m.id, r.status());
                 directPause.put(m, runtime.now() + 2 * Constants.ORDER_TIMEOUT_MS);
             }
@@ -525,9 +526,9 @@
             }
             up++;
             long quiet = now - m.lastReportAt;
-            if (quiet > Constants.SILENT_MS) {
+            if (quiet > Constants.SILENT_MS && m.unansweredSince > m.lastReportAt) {
                 silent.add(m);
-            } else if (quiet > Constants.SILENT_MS / 2) {
+            } else if (quiet > Constants.PROBE_MS) {
                 direct(m, true);
             }
         }
@@ -663,7 +664,7 @@
                 m.addr = l.path("addr").asText("");
             }
             boolean slowBoot = !m.up && !m.registered && (status.equals("running")
-                    ? now - listedAt.get(id) > 2 * Constants.SILENT_GRACE_MS
+                    ? now - listedAt.get(id) > Constants.NEVER_REPORTED_MS
                     : now - m.createdAt > Constants.BOOT_PATIENCE * m.type.bootS() * 1000);
             if (!m.returning && (status.equals("failed") || slowBoot)) {
                 bad.add(m);
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -42,8 +42,8 @@
     public boolean faulty;
     public long faultySince;
     public long noRoomUntil;
-    /** When probed after silence; 0 if not. */
-    public long probedAt;
+    /** When a direct call was last left unanswered. */
+    public long unansweredSince;
     /** In the first Tyrex partition. */
     public boolean first;
     public boolean directBusy;
