--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -482,9 +482,10 @@
                 (job.second() ? second : first).add(job);
             }
         }
-        Comparator<Job> arrival = (a, b) -> Long.compareUnsigned(a.order, b.order);
-        first.sort(arrival);
-        second.sort(arrival);
+        // Exception to the design (docs/design.md, "rank before arrival"): arrival order holds among jobs of one rank.
+        Comparator<Job> order = Comparator.<Job, JobSpec.Rank>comparing(j -> j.spec.rank()).thenComparing((a, b) -> Long.compareUnsigned(a.order, b.order));
+        first.sort(order);
+        second.sort(order);
         List<Machine> firstMachines = new ArrayList<>();
         List<Machine> secondMachines = new ArrayList<>();
         for (Machine m : machines.values()) {
