--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -92,10 +92,10 @@
     public static final int GAP_STEPS = 32;
 
     // ---- blame ----
-    /** Failures on a machine, by different jobs, after which it gets no more tasks and is returned. */
+    /** Failures on a machine, by different jobs, after which it is taken for faulty. */
     public static final int MACHINE_ERRORS = 2;
-    /** Milliseconds that tasks on a faulty machine get to save before it is returned. */
-    public static final long FAULTY_LEAVE_MS = 12_000;
+    /** Milliseconds that a faulty machine gets no new tasks; if it empties before, it is returned. */
+    public static final long QUARANTINE_MS = 90_000;
     /** Milliseconds a task waits after a failure, doubled each time its job fails, up to the maximum. */
     public static final long TASK_BACKOFF_MS = 1_000;
     public static final long TASK_BACKOFF_MAX_MS = 30_000;
@@ -124,7 +124,7 @@
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
-    public static final double CATCH_UP_ORDINARY_S = 40;
+    public static final double CATCH_UP_ORDINARY_S = 60;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -3,6 +3,8 @@
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Set;
 import org.hollypick.core.ledger.Placement;
 
 /** A live job, owned by this controller. */
@@ -26,7 +28,8 @@
     public final Int2ObjectOpenHashMap<Placement> live = new Int2ObjectOpenHashMap<>();
     public final Int2LongOpenHashMap notBefore = new Int2LongOpenHashMap();
     public int failures;
-    public long backoffUntil;
+    /** Machines on which its tasks failed since one last succeeded; more than one speaks against the job. */
+    public final Set<String> failedOn = new HashSet<>();
     /** Tyrex: moved on to the second partition. */
     public boolean moved;
     /** Tyrex: run time, in seconds, of tasks finished in the present partition. */
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -179,6 +179,11 @@
     public void tick(long now) {
         lastNow = now;
         for (Machine m : machines.values()) {
+            if (m.faulty && now >= m.faultyUntil) {
+                m.faulty = false;
+                m.failedJobs.clear();
+                passWanted = true;
+            }
             // A session can also be known from a direct answer alone: its lease began before that came, not earlier.
             long since = Math.max(Math.max(m.answeredAt, m.tenureSince), termStart);
             if (now - since > leaseMs() && (!m.placements.isEmpty() || !m.heard)) {
@@ -358,11 +363,8 @@
         } else {
             p.clearable = true;
             if ("error".equals(why)) {
-                m.failedJobs.add(job.spec.id());
                 job.failures++;
-                if (m.failedJobs.size() >= Constants.MACHINE_ERRORS) {
-                    blame(m, now);
-                }
+                blame(m, job, now);
                 back(job, p.index, now);
             } else if ("unknown".equals(why)) {
                 back(job, p.index, now);
@@ -373,6 +375,7 @@
         freeTask(p);
         if (done) {
             job.failures = 0;
+            job.failedOn.clear();
         }
     }
 
@@ -381,14 +384,21 @@
         job.notBefore.put(index, now + (job.failures <= 1 ? 0 : wait));
     }
 
-    /** Errors across jobs are the machine's: it gets nothing more, what it has is moved, and it is returned. */
-    private void blame(Machine m, long now) {
-        if (!m.faulty) {
-            m.faultySince = now;
-        }
-        m.faulty = true;
-        for (Placement p : m.there()) {
-            stop(p, Math.ceil(p.job.spec.saveS()));
+    /**
+     * Errors of several jobs, none of which failed elsewhere too, are the machine's: it gets nothing new for a while. What
+     * runs there is left alone; a machine that only fails what it starts does no harm to it.
+     */
+    private void blame(Machine m, Job job, long now) {
+        m.failedJobs.add(job.spec.id());
+        job.failedOn.add(m.id);
+        int own = 0;
+        for (String id : m.failedJobs) {
+            Job other = jobs.get(id);
+            own += other != null && other.failedOn.size() == 1 ? 1 : 0;
+        }
+        if (own >= Constants.MACHINE_ERRORS) {
+            m.faulty = true;
+            m.faultyUntil = now + Constants.QUARANTINE_MS;
         }
     }
 
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -182,7 +182,7 @@
                 continue;
             }
             if (m.faulty) {
-                if (m.idle() || now - m.faultySince > Constants.FAULTY_LEAVE_MS) {
+                if (m.idle()) {
                     out.add(m);
                 }
             } else if (m.up && m.idle() && !m.draining && now - m.idleSince > (m.spot ? operator.idleMs() : Constants.IDLE_ORDINARY_MS)) {
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -40,7 +40,7 @@
     /** Gets no new tasks: on notice, faulty, or chosen to be returned. */
     public boolean draining;
     public boolean faulty;
-    public long faultySince;
+    public long faultyUntil;
     public long noRoomUntil;
     /** When a direct call was last left unanswered. */
     public long unansweredSince;
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -218,4 +218,52 @@
         assertEquals(Order.Verb.START, orders.get(orders.size() - 1).verb());
         assertTrue(orders.get(orders.size() - 1).task().startsWith("req-2/"));
     }
+
+    private void fail(Machine m, Job job, long tick, long now) {
+        Placement p = job.live.values().iterator().next();
+        assertEquals(m, p.machine);
+        scheduler.report(m, report(m.id, 1, tick, 5, new TaskReport(p.taskId(), p.attempt, State.EXITED, "error")), true, now);
+    }
+
+    /** Two jobs that fail on one machine alone speak against the machine; what runs there goes on. */
+    @Test
+    void errorsAcrossJobsAreTheMachinesAndEndNothingElse() {
+        Machine m = machine("n-1", false, 0);
+        m.registered = true;
+        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5, 0);
+        Job good = scheduler.addJob(spec("req-3", 1, true), 3, 5, 0);
+        scheduler.pass(0);
+        Placement running = good.live.get(0);
+        Placement a = one.live.get(0);
+        Placement b = two.live.get(0);
+        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(running.taskId(), running.attempt, State.RUNNING, ""),
+                new TaskReport(a.taskId(), a.attempt, State.EXITED, "error"), new TaskReport(b.taskId(), b.attempt, State.EXITED, "error")), true, 100);
+        assertTrue(m.faulty);
+        assertFalse(running.stop);
+        scheduler.tick(200_000);
+        assertFalse(m.faulty);
+    }
+
+    /** A job that fails on every machine must not take the machines down with it. */
+    @Test
+    void aJobThatFailsEverywhereBlamesNoMachine() {
+        Machine m = machine("n-1", false, 0);
+        Machine n = machine("n-2", false, 0);
+        m.registered = true;
+        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        scheduler.pass(0);
+        fail(m, one, 2, 100);
+        n.registered = true;
+        scheduler.report(n, report("n-2", 1, 1, 5), true, 200);
+        scheduler.pass(10_000);
+        fail(n, one, 2, 10_100);
+        Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5, 10_200);
+        scheduler.pass(10_200);
+        fail(two.live.get(0).machine, two, 3, 10_300);
+        assertFalse(m.faulty);
+        assertFalse(n.faulty);
+    }
 }
