--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -11,12 +11,12 @@
     public static final long CLOCK_MARGIN_MS = 150;
 
     // ---- the member hold ----
-    /** Milliseconds. Longer than the outages to ride out; a crashed node ends its old hold itself when it is back. */
-    public static final long HOLD_MS = 28_000;
-    /** Milliseconds between renewals: an outage that starts just before one leaves at least 24 s. */
-    public static final long RENEW_MS = 4_000;
+    /** Milliseconds. The successor of a crashed owner waits this long at most; it bounds how long nobody schedules. */
+    public static final long HOLD_MS = 4_000;
+    /** Milliseconds between renewals: three tries fit into a hold. */
+    public static final long RENEW_MS = 1_000;
     /** Milliseconds until a failed renewal is tried again: quick enough to catch the end of an outage. */
-    public static final long RENEW_RETRY_MS = 700;
+    public static final long RENEW_RETRY_MS = 500;
     /** Milliseconds that nodes wait, by rank, before claiming a free leadership, so that claims rarely collide. */
     public static final long CLAIM_STEP_MS = 150;
     /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
@@ -35,7 +35,7 @@
     /** Milliseconds for a call to the cloud. */
     public static final long CLOUD_TIMEOUT_MS = 5_000;
     /** Milliseconds for an order to a worker; after that its outcome is open. */
-    public static final long ORDER_TIMEOUT_MS = 1_500;
+    public static final long ORDER_TIMEOUT_MS = 1_200;
     /** Milliseconds for a question to another node; users wait 2 s for a poll. */
     public static final long MESH_TIMEOUT_MS = 700;
     /** Connections kept to one address at most; keeps sockets bounded. */
@@ -99,10 +99,14 @@
     /** Milliseconds a task waits after a failure, doubled each time its job fails, up to the maximum. */
     public static final long TASK_BACKOFF_MS = 1_000;
     public static final long TASK_BACKOFF_MAX_MS = 30_000;
-    /** Milliseconds without a report after which a machine is asked directly: reports come every 3 s, give or take a quarter. */
-    public static final long PROBE_MS = 4_000;
-    /** Milliseconds without any word from a machine, a direct question left unanswered, after which it is returned. */
-    public static final long SILENT_MS = 6_000;
+    /** Milliseconds without any word from a machine after which it is asked directly. */
+    public static final long PROBE_MS = 1_000;
+    /** Milliseconds without any word from a machine after which it is returned; two questions fit in before. */
+    public static final long SILENT_MS = 3_500;
+    /** Direct calls left unanswered in a row before silence counts. */
+    public static final int UNANSWERED = 2;
+    /** Milliseconds between direct calls to a machine that left one unanswered. */
+    public static final long DIRECT_PAUSE_MS = 400;
     /** Share of machines that may be silent before silence is taken to be this node's own trouble. */
     public static final double SILENT_SHARE = 0.34;
     /** Milliseconds after takeover before silence counts: every machine is asked at once, twice and more. */
@@ -124,7 +128,7 @@
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
-    public static final double CATCH_UP_ORDINARY_S = 60;
+    public static final double CATCH_UP_ORDINARY_S = 40;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -330,15 +330,15 @@
         if (acting()) {
             scheduler.tick(now);
             scheduler.passWanted = true;
+            silence(now);
+            contactUnheard();
             if (now >= nextList) {
                 nextList = now + Constants.LIST_MS;
                 list();
             }
             if (now >= nextFleet) {
                 nextFleet = now + Constants.FLEET_MS;
-                silence(now);
                 rentAndReturn(now);
-                contactUnheard();
                 if (scheduler.fenceDue(now)) {
                     fence.run();
                 }
@@ -457,6 +457,7 @@
 
     private boolean accept(Machine m, Report r, boolean hello, long now) {
         m.lastReportAt = now;
+        m.unanswered = 0;
         boolean fresh = scheduler.report(m, r, hello, now);
         if (fresh) {
             pump();
@@ -495,9 +496,9 @@
                     }
                 }
             } else {
-                m.unansweredSince = runtime.now();
+                m.unanswered++;
                 LOG.debug("order unanswered machine={} status={}", m.id, r.status());
-                directPause.put(m, runtime.now() + 2 * Constants.ORDER_TIMEOUT_MS);
+                directPause.put(m, runtime.now() + Constants.DIRECT_PAUSE_MS);
             }
         });
     }
@@ -526,7 +527,7 @@
             }
             up++;
             long quiet = now - m.lastReportAt;
-            if (quiet > Constants.SILENT_MS && m.unansweredSince > m.lastReportAt) {
+            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED) {
                 silent.add(m);
             } else if (quiet > Constants.PROBE_MS) {
                 direct(m, true);
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -42,8 +42,8 @@
     public boolean faulty;
     public long faultyUntil;
     public long noRoomUntil;
-    /** When a direct call was last left unanswered. */
-    public long unansweredSince;
+    /** Direct calls left unanswered since its last word. */
+    public int unanswered;
     /** In the first Tyrex partition. */
     public boolean first;
     public boolean directBusy;
