Promises among controllers: a short hold for quick takeovers, and an owner that outlives outages

Cause: with a 4 s hold the owner fell silent 4 s into an outage of the state service, and an outage longer than the workers' lease would end all running work.

--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -138,6 +138,12 @@
 
     /** A request of another controller. */
     public void handleMesh(String method, String path, byte[] bytes, Consumer<Answer> answer) {
+        if (path.equals("/promise") && method.equals("POST")) {
+            JsonNode body = Codec.read(bytes, true);
+            long baton = body == null ? 0 : Codec.u64(body.path("baton"));
+            answer.accept(Answer.of(200, Codec.object().put("promised", membership.promise(baton))));
+            return;
+        }
         if (!path.startsWith("/jobs/")) {
             answer.accept(Answer.error(404, "no such path"));
             return;
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -5,6 +5,7 @@
 import java.util.TreeSet;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
 import org.hollypick.state.StateClient;
@@ -30,6 +31,12 @@
     private long holdUntil;
     /** The stamp of this incarnation's member key; 0 while there is none. */
     private long memberStamp;
+    private long renewedAt;
+    /** Until when, and for which baton, all other controllers have promised not to claim. */
+    private long promisedUntil;
+    private long promisedBaton;
+    /** Until when this node has promised not to claim. */
+    private long silentUntil;
     private boolean claiming;
     private int incarnation;
 
@@ -42,6 +49,9 @@
         TreeSet<String> names = new TreeSet<>(List.of(settings.node()));
         settings.siblings().forEach(s -> names.add(s.node()));
         this.rank = names.headSet(settings.node()).size();
+        // An earlier self may have promised just before it ended.
+        this.silentUntil = runtime.now() + (long) (Constants.PROMISE_MS * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS;
+        askForPromises();
     }
 
     /** One process runs under a node's name at a time, so a member key found at the start is a dead self's: its hold is ended. */
@@ -84,6 +94,7 @@
     }
 
     private void heldFrom(long sent) {
+        renewedAt = runtime.now();
         holdUntil = sent + (long) (Constants.HOLD_MS * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
     }
 
@@ -155,9 +166,47 @@
         return held && runtime.now() < holdUntil;
     }
 
+    // ---- promises: how an owner goes on while the state service is away ----
+
+    /** Asks every other controller not to claim for a while; only if all of them promise does it count. */
+    private void askForPromises() {
+        long baton = baton();
+        if (baton != 0 && held && !settings.siblings().isEmpty() && runtime.now() - renewedAt > Constants.PROMISE_AFTER_MS) {
+            long sent = runtime.now();
+            int[] missing = {settings.siblings().size()};
+            for (Settings.Sibling s : settings.siblings()) {
+                runtime.call(new Call(s.addr(), "POST", "/promise", Codec.object().put("baton", baton), Constants.MESH_TIMEOUT_MS, true), r -> {
+                    if (r.ok() && r.body().path("promised").asBoolean() && --missing[0] == 0 && baton == baton()) {
+                        promisedBaton = baton;
+                        promisedUntil = sent + (long) (Constants.PROMISE_MS * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
+                    }
+                });
+            }
+        }
+        runtime.after(Constants.PROMISE_EVERY_MS, this::askForPromises);
+    }
+
+    /**
+     * Another controller asks this one not to claim. Granted only while this node's view shows the asker's member key in place:
+     * then this node can't have a claim under way against that roster.
+     */
+    public boolean promise(long baton) {
+        if (!view.loaded() || baton == 0 || rosterStamp() != baton || free()) {
+            return false;
+        }
+        silentUntil = Math.max(silentUntil, runtime.now() + (long) (Constants.PROMISE_MS * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS);
+        return true;
+    }
+
+    /** Whether an own or an earlier self's promise forbids a claim now. A roster that names this node itself binds nobody. */
+    private boolean promised() {
+        return runtime.now() < silentUntil && !settings.node().equals(leader()) && leader() != null;
+    }
+
     /** Whether this node may act as leader under this baton right now. */
     public boolean entitled(long baton) {
-        return valid() && baton != 0 && baton == baton();
+        boolean entitled = valid() || held && promisedBaton == baton && runtime.now() < promisedUntil;
+        return entitled && baton != 0 && baton == baton();
     }
 
     /** The roster's stamp if the roster names this very incarnation, else 0. */
@@ -183,8 +232,15 @@
             return;
         }
         claiming = true;
+        if (promised()) {
+            runtime.after(Constants.CLAIM_STEP_MS, () -> {
+                claiming = false;
+                claimIfFree();
+            });
+            return;
+        }
         runtime.after(rank * Constants.CLAIM_STEP_MS, () -> {
-            if (memberStamp == 0 || !valid() || !free()) {
+            if (memberStamp == 0 || !valid() || !free() || promised()) {
                 claiming = false;
                 return;
             }
@@ -199,7 +255,7 @@
 
     /** Writes the roster again, as it is: its new stamp is a new baton, under which no older order is executed any more. */
     public void fence(long baton) {
-        if (!claiming && entitled(baton)) {
+        if (!claiming && valid() && entitled(baton)) {
             claiming = true;
             write(new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.member(settings.node()), memberStamp), "a fence");
         }
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -17,6 +17,13 @@
     public static final long RENEW_MS = 1_000;
     /** Milliseconds until a failed renewal is tried again: quick enough to catch the end of an outage. */
     public static final long RENEW_RETRY_MS = 500;
+    /** Milliseconds for which a node promises an owner that can't reach the state service not to claim its lead; also how long a
+     * restarted node waits before it claims another's lead, since its earlier self may have promised. */
+    public static final long PROMISE_MS = 4_000;
+    /** Milliseconds since the last renewal after which promises are asked for: before the hold can lapse. */
+    public static final long PROMISE_AFTER_MS = 1_600;
+    /** Milliseconds between two rounds of asking: several fit into one promise. */
+    public static final long PROMISE_EVERY_MS = 700;
     /** Milliseconds that nodes wait, by rank, before claiming a free leadership, so that claims rarely collide. */
     public static final long CLAIM_STEP_MS = 150;
     /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
@@ -128,7 +135,7 @@
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
-    public static final double CATCH_UP_ORDINARY_S = 40;
+    public static final double CATCH_UP_ORDINARY_S = 50;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -49,17 +49,17 @@
         JobSpec s = job.spec;
         double fetch = m.images.containsKey(s.image()) ? 0 : s.imageGb() / m.type.fetchGbPerS() * (fetching(m, s.image()) ? 0.6 : 1 + 0.5 * fetches(m));
         double score = -fetch;
+        double fill = m.usedCpus / m.type.cpus();
         if (s.service()) {
-            // Replicas of one service apart; services together, so that machines rented for a burst can be returned.
-            double services = 0;
             int mine = 0;
-            for (Placement p : m.placements.values()) {
-                services += p.there() && p.job.spec.service() ? p.job.spec.cpus() : 0;
-                mine += p.there() && p.job == job ? 1 : 0;
+            for (Placement p : job.live.values()) {
+                if (p.machine == m) {
+                    mine++;
+                }
             }
-            score += 2 * services / m.type.cpus() - 5 * mine;
+            score -= 5 * mine + 2 * fill;
         } else {
-            score += 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0);
+            score += 2 * fill + (m.spot ? 3 : 0);
         }
         return score;
     }
--- a/src/test/java/org/hollypick/sim/Checker.java
+++ b/src/test/java/org/hollypick/sim/Checker.java
@@ -24,6 +24,8 @@
     private final long cancelMs;
     int starts;
     int completed;
+    /** Tasks that ended with their worker's lease. */
+    int lost;
 
     Checker(double teamCpus, long cancelMs) {
         this.teamCpus = teamCpus;
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hollypick.Node;
 import org.hollypick.config.OperatorSettings;
@@ -67,6 +69,8 @@
     final CloudStandIn cloud;
     private final List<Host> hosts = new ArrayList<>();
     private int jobs;
+    private boolean lasting;
+    private final Set<String> keep = new HashSet<>();
 
     Day(long seed) {
         world = new World(seed);
@@ -90,7 +94,7 @@
                 @Override
                 public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
                     World.Process at = h.process;
-                    h.node.handleMesh(method, path, new byte[0], a -> {
+                    h.node.handleMesh(method, path, body == null ? new byte[0] : Codec.write(body, true), a -> {
                         if (!at.dead) {
                             reply.accept(new Reply(a.status(), a.body()));
                         }
@@ -129,9 +133,24 @@
         }
     }
 
+    /** Services that nobody cancels. */
+    void submitLasting(int count) {
+        lasting = true;
+        for (int i = 0; i < count; i++) {
+            submitOne(true);
+        }
+        lasting = false;
+    }
+
     private void submitOne() {
+        submitOne(world.random.nextInt(3) == 0);
+    }
+
+    private void submitOne(boolean service) {
         String id = String.format("req-%06d", jobs++);
-        boolean service = world.random.nextInt(3) == 0;
+        if (lasting) {
+            keep.add(id);
+        }
         ObjectNode b = Codec.object().put("name_id", id).put("jobkind", service ? "web" : "batch").put("owner", "team")
                 .put("shape", service ? "standing" : "batch").put("rank", service ? "prod" : world.random.nextBoolean() ? "standard" : "low")
                 .put("shards", 1 + world.random.nextInt(6)).put("cores", 1.0 + world.random.nextInt(2)).put("gpus", 0.0).put("ram_gb", 2.0)
@@ -152,7 +171,7 @@
             if (r.status() == 201 || r.status() == 200) {
                 checker.told(id, r.body().path("status").asText(), asked, world.now);
                 poll(id);
-                if (b.path("shape").asText().equals("standing") || world.random.nextInt(6) == 0) {
+                if (!keep.contains(id) && (b.path("shape").asText().equals("standing") || world.random.nextInt(6) == 0)) {
                     world.at(world.random.nextInt(60_000), () -> withdraw(id));
                 }
                 world.at(world.random.nextInt(100_000), () -> again(id, b));
@@ -227,7 +246,12 @@
             case 0, 1 -> crash(node, 2_000 + world.random.nextInt(20_000));
             case 2 -> crashAll();
             case 3 -> state.outage(ms);
-            case 4 -> world.cut("bothy-" + node, "state:1", ms);
+            case 4 -> {
+                world.cut("bothy-" + node, "state:1", ms);
+                if (world.random.nextInt(3) == 0) {
+                    world.cut("bothy-" + node, "m" + (node + 1) % 3 + ":1", ms);
+                }
+            }
             case 5 -> {
                 if (w != null) {
                     w.hang(ms);
--- a/src/test/java/org/hollypick/sim/WorkerStandIn.java
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -19,7 +19,6 @@
     private static final class Task {
         String status = "fetching";
         String cause;
-        long generation;
     }
 
     final String name;
@@ -121,7 +120,7 @@
     private void checkLease() {
         if (world.now - renewedAt > leaseMs) {
             tasks.forEach((k, t) -> {
-                t.generation = -1;
+                checker.lost += t.status.equals("running") ? 1 : 0;
                 checker.left(taskOf(k), this);
             });
             tasks.clear();
