--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -98,6 +98,10 @@
     /** Steps in which the space between two neighbouring sizes is searched for the cutoff: it can hold two sign changes. */
     public static final int GAP_STEPS = 32;
 
+    // ---- placement ----
+    /** Core-seconds of lower work that may be lost to spare a service one second of fetching its image. */
+    public static final double LOST_PER_FETCH_S = 20;
+
     // ---- blame ----
     /** Failures on a machine, by different jobs, after which it is taken for faulty. */
     public static final int MACHINE_ERRORS = 2;
@@ -135,7 +139,7 @@
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
-    public static final double CATCH_UP_ORDINARY_S = 50;
+    public static final double CATCH_UP_ORDINARY_S = 40;
     /** Weight of the newest finished task in the ratio of run time to estimate. */
     public static final double RUN_RATIO_WEIGHT = 0.1;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -517,16 +517,19 @@
             if (!withinLimit(job.spec)) {
                 return;
             }
-            Machine m = Placer.choose(job, own, now);
-            if (m == null) {
-                m = Placer.choose(job, keepOneFree ? lendable(others) : others, now);
-            }
-            if (m == null && job.spec.service()) {
-                // Exception to the design (docs/design.md, "production first"): services stop lower work anywhere.
+            Machine m;
+            if (job.spec.service()) {
+                // Exception to the design (docs/design.md, "production first"): services go where their image is, and stop
+                // lower work anywhere.
                 Placer.Choice choice = Placer.preempt(job, machines.values(), now);
                 if (choice != null) {
                     choice.victims().forEach(v -> stop(v, 0));
-                    m = choice.machine();
+                }
+                m = choice == null ? null : choice.machine();
+            } else {
+                m = Placer.choose(job, own, now);
+                if (m == null) {
+                    m = Placer.choose(job, keepOneFree ? lendable(others) : others, now);
                 }
             }
             if (m == null) {
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import org.hollypick.config.Constants;
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.ledger.Machine;
@@ -83,7 +84,7 @@
         return Math.min(n, 4);
     }
 
-    /** A machine on which stopping work of lower priority makes room, the least work lost; null if there is none. */
+    /** The best machine that has room or gets it by stopping work of lower priority, weighing what is lost; null if there is none. */
     public static Choice preempt(Job job, Collection<Machine> machines, long now) {
         Choice best = null;
         double bestScore = 0;
@@ -99,7 +100,7 @@
             for (Placement p : victims) {
                 lost += p.state == Placement.State.RUNNING ? (now - p.runningAt) / 1000.0 * p.job.spec.cpus() : 0;
             }
-            double score = score(job, m) - lost / 20;
+            double score = score(job, m) - lost / Constants.LOST_PER_FETCH_S;
             if (best == null || score > bestScore) {
                 best = new Choice(m, victims);
                 bestScore = score;
