--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -135,7 +135,7 @@
     /** Seconds over which the mean arriving work is followed: a few jobs' worth. */
     public static final double LOAD_WINDOW_S = 240;
     /** Room kept for arrays, as a multiple of the mean arriving work: jobs come in bunches. */
-    public static final double LOAD_HEADROOM = 1.0;
+    public static final double LOAD_HEADROOM = 0.6;
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
