--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -73,8 +73,6 @@
     public static final long TICK_MS = 250;
     /** Milliseconds between placement passes after events: several events share one pass. */
     public static final long PASS_GAP_MS = 20;
-    /** Milliseconds between flushes of progress to the state service. */
-    public static final long FLUSH_MS = 150;
     /** Milliseconds between looks at the cloud's machine list. */
     public static final long LIST_MS = 3_000;
     /** Milliseconds between refreshes of the machine types and their prices. */
--- a/src/main/java/org/hollypick/config/Settings.java
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.google.common.net.HostAndPort;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -88,13 +89,12 @@
 
     private static String address(JsonNode at, String field) {
         String v = text(at, field);
-        int colon = v.lastIndexOf(':');
         try {
-            int port = Integer.parseInt(v.substring(colon + 1));
-            if (colon > 0 && port > 0 && port < 65536) {
+            HostAndPort parsed = HostAndPort.fromString(v);
+            if (parsed.hasPort() && parsed.getPort() > 0 && !parsed.getHost().isEmpty()) {
                 return v;
             }
-        } catch (NumberFormatException e) {
+        } catch (IllegalArgumentException e) {
             // reported below, with the field's name
         }
         throw new ConfigException(field + ": not host:port: " + v);
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
 import org.hollypick.api.JobCodec;
 import org.hollypick.cloud.CloudClient;
 import org.hollypick.cluster.Keys;
@@ -77,6 +78,8 @@
     private long nextSizes;
     private long nextSummary;
     private String lastSizes = "";
+    /** How late this loop runs, in milliseconds: what the node's processor share does to it. */
+    private final Histogram lateness = new Histogram(2);
 
     private record Hire(String name, int count) {}
 
@@ -95,7 +98,7 @@
         this.fence = fence;
         this.fleet = new Fleet(operator);
         this.startedAt = runtime.now();
-        this.lastTick = startedAt;
+        this.lastTick = startedAt - Constants.TICK_MS;
         this.smoothSince = startedAt;
         this.scheduler = new Scheduler(baton, settings, operator.firstShare(), startedAt);
     }
@@ -323,6 +326,7 @@
             return;
         }
         long now = runtime.now();
+        lateness.recordValue(Math.max(0, now - lastTick - Constants.TICK_MS));
         if (now - lastTick > 4 * Constants.TICK_MS) {
             smoothSince = now; // this node itself was held up, so silence proves nothing yet
         }
@@ -376,8 +380,10 @@
             }
             waiting += job.pending.cardinality() * job.spec.cpus();
         }
-        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} fetching={}",
-                baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting, fetching);
+        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} fetching={} late_p99={} late_max={}",
+                baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting, fetching,
+                lateness.getValueAtPercentile(99), lateness.getMaxValue());
+        lateness.reset();
     }
 
     /** One pass and its orders, shared by all events that come close together. */
--- a/src/main/java/org/hollypick/io/HttpServer.java
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -1,5 +1,6 @@
 package org.hollypick.io;
 
+import com.google.common.net.HostAndPort;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
@@ -26,6 +27,8 @@
     private HttpServer() {}
 
     public static Undertow start(XnioWorker worker, ByteBufferPool buffers, String publicAddr, Service users, String meshAddr, Service mesh) {
+        HostAndPort open = HostAndPort.fromString(publicAddr);
+        HostAndPort inner = HostAndPort.fromString(meshAddr);
         Undertow server = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
@@ -34,21 +37,13 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false)
-                .addHttpListener(port(publicAddr), host(publicAddr), handler(users, false))
-                .addHttpListener(port(meshAddr), host(meshAddr), handler(mesh, true))
+                .addHttpListener(open.getPort(), open.getHost(), handler(users, false))
+                .addHttpListener(inner.getPort(), inner.getHost(), handler(mesh, true))
                 .build();
         server.start();
         return server;
     }
 
-    private static String host(String addr) {
-        return addr.substring(0, addr.lastIndexOf(':'));
-    }
-
-    private static int port(String addr) {
-        return Integer.parseInt(addr.substring(addr.lastIndexOf(':') + 1));
-    }
-
     private static HttpHandler handler(Service service, boolean json) {
         return exchange -> exchange.getRequestReceiver().receiveFullBytes(
                 (x, body) -> x.dispatch(SameThreadExecutor.INSTANCE, () -> serve(service, x, body, json)),
--- /dev/null
+++ b/src/test/java/org/hollypick/HttpTest.java
@@ -0,0 +1,122 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.HttpServer;
+import org.hollypick.io.Network;
+import org.hollypick.io.Reply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The server and the client over a real loopback socket. */
+class HttpTest {
+    private XnioWorker worker;
+    private Network network;
+    private Undertow server;
+    private String addr;
+
+    @BeforeEach
+    void start() throws Exception {
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
+        DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8192);
+        network = new Network(worker.getIoThread(), buffers);
+        addr = free();
+        HttpServer.Service echo = (method, path, body, answer) -> {
+            if (path.equals("/hang")) {
+                return;
+            }
+            var tree = Codec.read(body, false);
+            answer.accept(path.equals("/later") ? Answer.later("busy")
+                    : Answer.of(200, Codec.object().put("method", method).put("text", tree == null ? "" : tree.path("text").asText())));
+        };
+        server = HttpServer.start(worker, buffers, addr, echo, free(), echo);
+    }
+
+    @AfterEach
+    void stop() {
+        server.stop();
+        worker.shutdownNow();
+    }
+
+    private static String free() throws Exception {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    private Reply call(Call call) throws Exception {
+        BlockingQueue<Reply> got = new ArrayBlockingQueue<>(1);
+        network.after(0, () -> network.call(call, got::add));
+        Reply reply = got.poll(10, TimeUnit.SECONDS);
+        assertNotNull(reply);
+        return reply;
+    }
+
+    @Test
+    void carriesSmallAndLargeBodiesOnKeptConnections() throws Exception {
+        for (String text : new String[] {"x", "y".repeat(60_000), "z"}) {
+            Reply r = call(Call.of(addr, "POST", "/echo", Codec.object().put("text", text), 5_000));
+            assertEquals(200, r.status());
+            assertEquals(text, r.body().path("text").asText());
+        }
+        assertEquals("GET", call(Call.of(addr, "GET", "/echo", null, 5_000)).body().path("method").asText());
+    }
+
+    @Test
+    void tellsNoAnswerFromNotSent() throws Exception {
+        assertEquals(Reply.NO_ANSWER, call(Call.of(addr, "POST", "/hang", Codec.object(), 300)).status());
+        assertEquals(Reply.NOT_SENT, call(Call.of(free(), "GET", "/", null, 2_000)).status());
+    }
+
+    private String raw(String request) throws Exception {
+        try (Socket s = new Socket("127.0.0.1", Integer.parseInt(addr.substring(addr.lastIndexOf(':') + 1)))) {
+            s.setSoTimeout(5_000);
+            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = s.getInputStream();
+            byte[] buffer = new byte[4096];
+            int n = in.read(buffer);
+            return n < 0 ? "" : new String(buffer, 0, n, StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    @Test
+    void survivesGarbageOversizeAndHalfRequests() throws Exception {
+        assertTrue(raw("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n\u00ff\u00ff\u00ff").startsWith("HTTP/1.1 200"));
+        assertTrue(raw("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\nabc").startsWith("HTTP/1.1 4"));
+        assertTrue(raw("nonsense\r\n\r\n").isEmpty() || raw("nonsense\r\n\r\n").startsWith("HTTP/1.1 4"));
+        assertEquals(200, call(Call.of(addr, "GET", "/echo", null, 5_000)).status());
+    }
+
+    @Test
+    void refusalsCarryRetryAfter() throws Exception {
+        assertTrue(raw("GET /later HTTP/1.1\r\nHost: x\r\n\r\n").contains("Retry-After: 1"));
+    }
+
+    @Test
+    void codecReadsWhatItWrites() {
+        byte[] bytes = Codec.write(Codec.object().put("a", 1.5).put("b", 7L), false);
+        assertArrayEquals(bytes, Codec.write(Codec.read(bytes, false), false));
+        assertEquals(null, Codec.read(new byte[] {(byte) 0xff, 0}, false));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/SettingsTest.java
@@ -0,0 +1,76 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.hollypick.config.ConfigException;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.junit.jupiter.api.Test;
+
+/** Both kinds of settings: what is read, and that what is wrong is named. */
+class SettingsTest {
+    private static final String TOML = """
+            node_name = "bothy-0"
+            location = "a"
+            public_addr = "127.0.0.1:8080"
+            mesh_addr = "127.0.0.1:8081"
+            some_new_field = 1
+            [services]
+            cloud = "127.0.0.1:1"
+            state = "127.0.0.1:2"
+            [params]
+            zones = ["a", "b"]
+            [[params.teams]]
+            name = "t"
+            [params.workers]
+            report_s = 3.0
+            lease_s = 26.0
+            cancel_s = 46.0
+            [params.state]
+            rps = 150.0
+            write_rps = 50.0
+            value_kb = 16.0
+            txn_ops = 16
+            [params.cloud]
+            rps = 8.0
+            list_lag_s = 6.0
+            """;
+
+    private static ObjectNode toml() throws Exception {
+        return (ObjectNode) new TomlMapper().readTree(TOML);
+    }
+
+    @Test
+    void readsThePlatformsFileAndIgnoresUnknownFields() throws Exception {
+        Settings s = Settings.parse(toml());
+        assertEquals("bothy-0", s.node());
+        assertEquals(16 * 1024, s.valueBytes());
+        assertEquals(0, s.teams().get("t").cpusMax());
+    }
+
+    @Test
+    void namesWhatIsMissingOrImpossible() throws Exception {
+        ObjectNode missing = toml();
+        missing.remove("node_name");
+        assertTrue(assertThrows(ConfigException.class, () -> Settings.parse(missing)).getMessage().contains("node_name"));
+        ObjectNode bad = toml();
+        bad.put("public_addr", "nowhere");
+        assertTrue(assertThrows(ConfigException.class, () -> Settings.parse(bad)).getMessage().contains("public_addr"));
+        ObjectNode zero = toml();
+        ((ObjectNode) zero.path("params").path("workers")).put("lease_s", 0);
+        assertTrue(assertThrows(ConfigException.class, () -> Settings.parse(zero)).getMessage().contains("lease_s"));
+    }
+
+    @Test
+    void operatorsSettingsAreOneEdnMap() {
+        assertEquals(20_000, OperatorSettings.parse("{:idle-s 20}").idleMs());
+        assertEquals(OperatorSettings.defaults(), OperatorSettings.parse("{}"));
+        assertTrue(assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:idel-s 20}")).getMessage().contains("idel-s"));
+        assertTrue(assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:first-share 2}")).getMessage().contains("first-share"));
+        assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:idle-s"));
+    }
+}
--- a/src/test/java/org/hollypick/sim/RulesTest.java
+++ b/src/test/java/org/hollypick/sim/RulesTest.java
@@ -13,7 +13,7 @@
     @Test
     void aQuietDayRunsEverything() {
         Day day = new Day(1);
-        day.submitSome(20, 60_000);
+        day.submitSome(40, 60_000);
         day.play(200_000);
         assertEquals(List.of(), day.checker.broken);
         assertTrue(day.checker.completed > 30, "completed " + day.checker.completed);
