--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -100,6 +100,11 @@
     /** Core-seconds of lower work that may be lost to spare a service one second of fetching its image. */
     public static final double LOST_PER_FETCH_S = 20;
 
+    /** Seconds of fetching that are worth keeping two replicas of one service apart. */
+    public static final double REPLICA_APART = 5;
+    /** Seconds of fetching that are worth having one core less of services on a machine: it bounds what its loss takes. */
+    public static final double SERVICE_SPREAD = 0.15;
+
     // ---- blame ----
     /** Failures on a machine, by different jobs, after which it is taken for faulty. */
     public static final int MACHINE_ERRORS = 2;
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -50,17 +50,16 @@
         JobSpec s = job.spec;
         double fetch = m.images.containsKey(s.image()) ? 0 : s.imageGb() / m.type.fetchGbPerS() * (fetching(m, s.image()) ? 0.6 : 1 + 0.5 * fetches(m));
         double score = -fetch;
-        double fill = m.usedCpus / m.type.cpus();
         if (s.service()) {
-            int mine = 0;
-            for (Placement p : job.live.values()) {
-                if (p.machine == m) {
-                    mine++;
+            // Replicas apart, and services even over machines by their number, not by their share of a larger machine:
+            // what is lost with one machine counts.
+            for (Placement p : m.placements.values()) {
+                if (p.there() && p.job.spec.service()) {
+                    score -= p.job == job ? Constants.REPLICA_APART : p.job.spec.cpus() * Constants.SERVICE_SPREAD;
                 }
             }
-            score -= 5 * mine + 2 * fill;
         } else {
-            score += 2 * fill + (m.spot ? 3 : 0);
+            score += 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0);
         }
         return score;
     }
