Tidy: one place for clock bounds, direct pause on the machine, shared test set-ups

Found on reading the change again: the same drift arithmetic stood four times, the pause after an unanswered order was a map beside the machine that kept returned machines, an unused parameter, a branch written twice, and set-up lines repeated in the tests. Behaviour unchanged.

--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -50,7 +50,7 @@
         settings.siblings().forEach(s -> names.add(s.node()));
         this.rank = names.headSet(settings.node()).size();
         // An earlier self may have promised just before it ended.
-        this.silentUntil = runtime.now() + (long) (Constants.PROMISE_MS * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS;
+        this.silentUntil = runtime.now() + possibly(Constants.PROMISE_MS);
         askForPromises();
     }
 
@@ -93,9 +93,19 @@
         });
     }
 
+    /** How long a time that runs on another clock certainly lasts here. */
+    private static long certainly(long ms) {
+        return (long) (ms * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
+    }
+
+    /** How long a time on another clock may last here. */
+    private static long possibly(long ms) {
+        return (long) (ms * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS;
+    }
+
     private void heldFrom(long sent) {
         renewedAt = runtime.now();
-        holdUntil = sent + (long) (Constants.HOLD_MS * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
+        holdUntil = sent + certainly(Constants.HOLD_MS);
     }
 
     private void enter(int self) {
@@ -178,7 +188,7 @@
                 runtime.call(new Call(s.addr(), "POST", "/promise", Codec.object().put("baton", baton), Constants.MESH_TIMEOUT_MS, true), r -> {
                     if (r.ok() && r.body().path("promised").asBoolean() && --missing[0] == 0 && baton == baton()) {
                         promisedBaton = baton;
-                        promisedUntil = sent + (long) (Constants.PROMISE_MS * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
+                        promisedUntil = sent + certainly(Constants.PROMISE_MS);
                     }
                 });
             }
@@ -194,7 +204,7 @@
         if (!view.loaded() || baton == 0 || rosterStamp() != baton || free()) {
             return false;
         }
-        silentUntil = Math.max(silentUntil, runtime.now() + (long) (Constants.PROMISE_MS * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS);
+        silentUntil = Math.max(silentUntil, runtime.now() + possibly(Constants.PROMISE_MS));
         return true;
     }
 
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -70,7 +70,6 @@
     private final Map<Fleet.Kind, Hire> hiring = new HashMap<>();
     private final Set<String> returning = new HashSet<>();
     private final Map<String, Long> listedAt = new HashMap<>();
-    private final Map<Machine, Long> directPause = new HashMap<>();
     private long lastTick;
     private long smoothSince;
     private long nextFleet;
@@ -479,7 +478,7 @@
     /** Sends what the machine should do; {@code probe}: even if that is nothing, to hear from it. */
     private void direct(Machine m, boolean probe) {
         long now = runtime.now();
-        if (!acting() || m.directBusy || m.addr.isEmpty() || directPause.getOrDefault(m, 0L) > now || m.returning) {
+        if (!acting() || m.directBusy || m.addr.isEmpty() || m.directAfter > now || m.returning) {
             return;
         }
         List<Order> orders = m.up ? limited(scheduler.orders(m)) : List.of();
@@ -492,7 +491,6 @@
             boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.status() == Reply.NOT_SENT;
             scheduler.directEnded(m, orders, tenure, settled);
             if (r.status() == 200 || r.status() == 409) {
-                directPause.remove(m);
                 Report report = WorkerCodec.report(r.body());
                 if (report != null && scheduler.machines.get(m.id) == m && Long.compareUnsigned(report.baton(), baton) <= 0) {
                     boolean again = !m.heard;
@@ -504,7 +502,7 @@
             } else {
                 m.unanswered++;
                 LOG.debug("order unanswered machine={} status={}", m.id, r.status());
-                directPause.put(m, runtime.now() + Constants.DIRECT_PAUSE_MS);
+                m.directAfter = runtime.now() + Constants.DIRECT_PAUSE_MS;
             }
         });
     }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -31,6 +31,7 @@
     private final double firstShare;
     private final long termStart;
     private long attempts;
+    private long lastNow;
     private double arrivedWork;
     /** By class of jobs: how the run times of finished tasks compare with the estimates. */
     private final Map<String, Double> runRatio = new HashMap<>();
@@ -173,8 +174,6 @@
         passWanted = true;
     }
 
-    private long lastNow;
-
     /** Leases that ran out, and machines from earlier terms that can't hold anything any more. */
     public void tick(long now) {
         lastNow = now;
@@ -254,9 +253,7 @@
             if (listed.contains(Machine.key(p.taskId(), p.attempt))) {
                 continue;
             }
-            if (p.state != State.SENT) {
-                remove(p);
-            } else if (p.stop && !p.launchMayFollow()) {
+            if (p.state != State.SENT || p.stop && !p.launchMayFollow()) {
                 remove(p);
             }
         }
@@ -323,14 +320,13 @@
         if (t.state() == State.RUNNING || t.state() == State.SAVING) {
             p.machine.images.put(p.job.spec.image(), now);
         }
-        State before = p.state;
         p.state = t.state();
         if (t.state() == State.EXITED) {
-            exited(p, t.why(), before, now);
+            exited(p, t.why(), now);
         }
     }
 
-    private void exited(Placement p, String why, State before, long now) {
+    private void exited(Placement p, String why, long now) {
         Machine m = p.machine;
         Job job = p.job;
         m.release(p);
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -47,6 +47,8 @@
     /** In the first Tyrex partition. */
     public boolean first;
     public boolean directBusy;
+    /** No direct call before this time; the last one was left unanswered. */
+    public long directAfter;
     public final Map<String, Placement> placements = new LinkedHashMap<>();
     public List<TaskReport> reported = List.of();
     public final Object2LongOpenHashMap<String> images = new Object2LongOpenHashMap<>();
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -39,8 +39,15 @@
                 false, false, true, "img", 1, 10, 0, 0, Double.NaN);
     }
 
-    private Machine machine(String id, boolean registered, long now) {
-        Machine m = scheduler.addMachine(id, TYPE, "a", true, registered, now);
+    private Machine machine(String id, boolean registered) {
+        return scheduler.addMachine(id, TYPE, "a", true, registered, 0);
+    }
+
+    /** A new machine of this term that is registered and has reported. */
+    private Machine reporting() {
+        Machine m = machine("n-1", false);
+        m.registered = true;
+        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
         return m;
     }
 
@@ -63,9 +70,7 @@
     /** A new session was heard of through a direct answer after an outage; counting from the last answered report lost its tasks. */
     @Test
     void aSessionKnownFromADirectAnswerHasItsFullLease() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         m.answeredAt = 0;
         scheduler.report(m, report("n-1", 2, 2, 5), false, LEASE_MS + 10_000);
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, LEASE_MS + 10_000);
@@ -78,9 +83,7 @@
 
     @Test
     void anAttemptIsNotClearedWhileACopyOfItsLaunchMayFollow() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
         List<Order> orders = scheduler.orders(m);
@@ -95,9 +98,7 @@
     /** The answer to a report may still be under way when a direct order has run and ended the same attempt. */
     @Test
     void anAttemptIsNotClearedWhileTheAnswerThatCarriesItIsUnderWay() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
         scheduler.sentInAnswer(m, scheduler.orders(m));
@@ -110,9 +111,7 @@
 
     @Test
     void aDoneAttemptIsClearedOnlyWhenItsProgressIsDurable() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
         scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(p.taskId(), p.attempt, State.EXITED, "done")), true, 100);
@@ -124,8 +123,8 @@
 
     @Test
     void afterATakeoverOlderJobsWaitForEveryRegisteredMachine() {
-        Machine heard = machine("n-1", true, 0);
-        Machine silent = machine("n-2", true, 0);
+        Machine heard = machine("n-1", true);
+        Machine silent = machine("n-2", true);
         scheduler.report(heard, report("n-1", 1, 1, 5), true, 0);
         Job older = scheduler.addJob(spec("req-1", 1, false), 1, 4, 0);
         Job younger = scheduler.addJob(spec("req-2", 1, false), 6, 5, 0);
@@ -143,7 +142,7 @@
 
     @Test
     void aMachineThatNeverReportsIsEmptyWhenItsLeaseMustBeOver() {
-        machine("n-1", true, 0);
+        machine("n-1", true);
         scheduler.tick(LEASE_MS);
         assertFalse(scheduler.settled());
         scheduler.tick(LEASE_MS + 2_000);
@@ -152,9 +151,7 @@
 
     @Test
     void reportsOfAnExpiredTenureSayNothing() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
         scheduler.tick(LEASE_MS + 2_000);
@@ -187,9 +184,7 @@
     /** A held-back launch of a cancelled job could be executed long after; only a newer token stops it for certain. */
     @Test
     void aLaunchInDoubtOfACancelledJobCallsForANewBaton() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         launched(job, m, 0);
         List<Order> orders = scheduler.orders(m);
@@ -204,9 +199,7 @@
 
     @Test
     void servicesStopLowerWorkAndStartBehindTheKill() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job low = scheduler.addJob(spec("req-1", 4, false), 1, 5, 0);
         scheduler.pass(0);
         TaskReport[] running = low.live.values().stream().map(p -> new TaskReport(p.taskId(), p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
@@ -228,9 +221,7 @@
     /** Two jobs that fail on one machine alone speak against the machine; what runs there goes on. */
     @Test
     void errorsAcrossJobsAreTheMachinesAndEndNothingElse() {
-        Machine m = machine("n-1", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
         Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5, 0);
         Job good = scheduler.addJob(spec("req-3", 1, true), 3, 5, 0);
@@ -249,10 +240,8 @@
     /** A job that fails on every machine must not take the machines down with it. */
     @Test
     void aJobThatFailsEverywhereBlamesNoMachine() {
-        Machine m = machine("n-1", false, 0);
-        Machine n = machine("n-2", false, 0);
-        m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        Machine m = reporting();
+        Machine n = machine("n-2", false);
         Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         scheduler.pass(0);
         fail(m, one, 2, 100);
--- a/src/test/java/org/hollypick/sim/RulesTest.java
+++ b/src/test/java/org/hollypick/sim/RulesTest.java
@@ -45,14 +45,19 @@
         day.checker.submitted.keySet().forEach(id -> assertTrue(!day.checker.isAccepted(id) || day.checker.isOver(id), id));
     }
 
-    /** An outage longer than hold and worker lease: the others' promises let the owner go on answering reports. */
-    @Test
-    void runningWorkSurvivesALongOutageOfTheStateService() {
+    private static Day dayWithRunningServices() {
         Day day = new Day(3);
         day.play(5_000);
         day.submitLasting(6);
         day.play(35_000);
         assertTrue(day.checker.starts >= 6);
+        return day;
+    }
+
+    /** An outage longer than hold and worker lease: the others' promises let the owner go on answering reports. */
+    @Test
+    void runningWorkSurvivesALongOutageOfTheStateService() {
+        Day day = dayWithRunningServices();
         day.state.outage(60_000);
         day.play(5_000);
         int lost = day.checker.lost;
@@ -65,11 +70,7 @@
     /** With one of the others gone there is no promise, so the owner must stop; nobody may act then. */
     @Test
     void withoutAllPromisesNobodyActsInAnOutage() {
-        Day day = new Day(3);
-        day.play(5_000);
-        day.submitLasting(6);
-        day.play(35_000);
-        assertTrue(day.checker.starts >= 6);
+        Day day = dayWithRunningServices();
         day.world.at(100, () -> day.crash(0, 90_000));
         day.state.outage(60_000);
         day.play(5_000);
