--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -98,7 +98,7 @@
             }
             state.setOwner(true);
             term = new Term(baton, runtime, settings, operator, view, state, cloud, workers, types, () -> membership.entitled(baton),
-                    () -> membership.fence(baton));
+                    () -> membership.fence(baton), membership::resign);
             term.start();
         }
         membership.claimIfFree();
@@ -109,7 +109,7 @@
     /** A request of users, workers or health checks. */
     public void handle(String method, String path, byte[] bytes, Consumer<Answer> answer) {
         if (path.equals("/hello")) {
-            answer.accept(method.equals("POST") ? hello(Codec.read(bytes, false)) : notAllowed());
+            answer.accept(method.equals("POST") ? hello(bytes) : notAllowed());
         } else if (path.equals("/ready")) {
             answer.accept(method.equals("GET") ? ready() : notAllowed());
         } else if (path.equals("/submissions")) {
@@ -144,17 +144,12 @@
             answer.accept(Answer.of(200, Codec.object().put("promised", membership.promise(baton))));
             return;
         }
-        if (!path.startsWith("/jobs/")) {
-            answer.accept(Answer.error(404, "no such path"));
-            return;
-        }
-        String rest = path.substring("/jobs/".length());
-        if (method.equals("POST") && rest.endsWith("/abort")) {
-            users.meshAbort(rest.substring(0, rest.length() - "/abort".length()), answer);
-        } else if (method.equals("GET")) {
-            users.meshStatus(rest, answer);
+        if (path.equals("/jobs") && method.equals("POST")) {
+            answer.accept(users.meshStatus(Codec.read(bytes, true)));
+        } else if (path.startsWith("/jobs/") && path.endsWith("/abort") && method.equals("POST")) {
+            users.meshAbort(path.substring("/jobs/".length(), path.length() - "/abort".length()), answer);
         } else {
-            answer.accept(notAllowed());
+            answer.accept(Answer.error(404, "no such path"));
         }
     }
 
@@ -167,13 +162,10 @@
         return ready ? Answer.of(200, Codec.object().put("ready", true)) : Answer.later("starting");
     }
 
-    private Answer hello(JsonNode body) {
-        Report report = WorkerCodec.report(body);
-        if (report == null) {
-            return Answer.error(400, "not a report");
-        }
+    private Answer hello(byte[] body) {
         if (term != null && term.acting()) {
-            return term.hello(report);
+            Report report = WorkerCodec.report(body);
+            return report == null ? Answer.error(400, "not a report") : term.hello(report);
         }
         String leader = membership.leader();
         if (leader == null || leader.equals(settings.node())) {
--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -1,7 +1,12 @@
 package org.hollypick.api;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -32,6 +37,9 @@
     private final Supplier<Map<String, MachineType>> types;
     /** Until when the owner isn't asked, after it left a question unanswered. */
     private long ownerSilentUntil;
+    /** Polls that wait to be asked about, and whether that is due already. */
+    private final Map<String, List<Consumer<Answer>>> polls = new LinkedHashMap<>();
+    private boolean gathering;
 
     public UserApi(Runtime runtime, Settings settings, StateClient state, View view, Membership membership, Supplier<Term> term,
             Supplier<Map<String, MachineType>> types) {
@@ -81,13 +89,13 @@
 
     /** A refusal that is final is only given after a fresh read: a job that was accepted stays accepted. */
     private void unlessKnown(String id, Answer refusal, Consumer<Answer> answer) {
-        state.get(Keys.job(id), r -> {
-            if (r.status() == 404) {
+        view.fresh(fresh -> {
+            if (!fresh) {
+                answer.accept(Answer.later("state service"));
+            } else if (view.get(Keys.job(id)) == null) {
                 answer.accept(refusal);
-            } else if (r.ok()) {
-                status(id, answer);
             } else {
-                answer.accept(Answer.later("state service"));
+                status(id, answer);
             }
         });
     }
@@ -148,44 +156,61 @@
             answer.accept(Answer.error(404, "no such job"));
             return;
         }
-        if (known(id, answer)) {
+        Answer known = certain(id);
+        if (known != null) {
+            answer.accept(known);
             return;
         }
+        if (owned(id) != null) {
+            fromRecord(id, answer);
+            return;
+        }
+        polls.computeIfAbsent(id, k -> new ArrayList<>()).add(answer);
+        if (!gathering) {
+            gathering = true;
+            runtime.after(Constants.GATHER_MS, this::askOwner);
+        }
+    }
+
+    /** All polls of a short while in one question: there are hundreds a second, and the owner has more to do than answer them. */
+    private void askOwner() {
+        gathering = false;
+        Map<String, List<Consumer<Answer>>> asked = new LinkedHashMap<>(polls);
+        polls.clear();
         String owner = ownerToAsk();
         if (owner == null) {
-            fromRecord(id, answer);
+            asked.forEach((id, answers) -> answers.forEach(a -> fromRecord(id, a)));
             return;
         }
-        runtime.call(new Call(owner, "GET", "/jobs/" + id, null, Constants.MESH_TIMEOUT_MS, true), r -> {
-            if (r.ok()) {
-                answer.accept(Answer.of(200, r.body()));
-            } else {
-                if (r.status() <= 0) {
-                    ownerSilentUntil = runtime.now() + 3_000;
-                }
-                fromRecord(id, answer);
+        ObjectNode body = Codec.object();
+        ArrayNode ids = body.putArray("jobs");
+        asked.keySet().forEach(ids::add);
+        runtime.call(new Call(owner, "POST", "/jobs", body, Constants.MESH_TIMEOUT_MS, true), r -> {
+            if (r.status() <= 0) {
+                ownerSilentUntil = runtime.now() + Constants.OWNER_SILENT_MS;
             }
+            asked.forEach((id, answers) -> {
+                JsonNode told = r.ok() ? r.body().path(id) : MissingNode.getInstance();
+                answers.forEach(a -> {
+                    if (told.isObject()) {
+                        a.accept(Answer.of(200, told));
+                    } else {
+                        fromRecord(id, a);
+                    }
+                });
+            });
         });
     }
 
-    /** Answers from what this node knows for certain: a terminal state, or a live job that it owns. */
-    private boolean known(String id, Consumer<Answer> answer) {
+    /** What this node knows for certain: a terminal state, or a live job that it owns. Null if nothing. */
+    private Answer certain(String id) {
         View.Entry e = view.get(Keys.job(id));
         if (e != null && Records.isOver(e.data())) {
-            answer.accept(over(id, e.data()));
-            return true;
+            return over(id, e.data());
         }
         Job job = owned(id);
-        if (job == null) {
-            return false;
-        }
-        if (job.endsInDoubt > 0) {
-            // The end may be durable already, and another node may have told it: only the record knows.
-            fromRecord(id, answer);
-        } else {
-            answer.accept(live(job));
-        }
-        return true;
+        // While an end is in doubt it may be durable already, and another node may have told it: only the record knows.
+        return job == null || job.endsInDoubt > 0 ? null : live(job);
     }
 
     private Job owned(String id) {
@@ -207,14 +232,16 @@
         return null;
     }
 
+    /** From this node's own copy of the records, once that is known to be fresh. */
     private void fromRecord(String id, Consumer<Answer> answer) {
-        state.get(Keys.job(id), r -> {
-            if (r.status() == 404) {
-                answer.accept(Answer.error(404, "no such job"));
-            } else if (!r.ok()) {
+        view.fresh(fresh -> {
+            View.Entry e = view.get(Keys.job(id));
+            if (!fresh) {
                 answer.accept(Answer.later("state service"));
-            } else if (Records.isOver(r.body().path("data"))) {
-                answer.accept(over(id, r.body().path("data")));
+            } else if (e == null) {
+                answer.accept(Answer.error(404, "no such job"));
+            } else if (Records.isOver(e.data())) {
+                answer.accept(over(id, e.data()));
             } else {
                 answer.accept(Answer.of(200, body(id, "pending", 0, 0)));
             }
@@ -222,7 +249,7 @@
     }
 
     private static Answer live(Job job) {
-        int running = job.running();
+        int running = job.running;
         return Answer.of(200, body(job.spec.id(), running > 0 ? "running" : "pending", job.done.cardinality(), running));
     }
 
@@ -268,11 +295,12 @@
 
     /** Only the owner aborts a live job; without it only what is over already, or never was, can be told. */
     private void withdrawn(String id, Consumer<Answer> answer) {
-        state.get(Keys.job(id), r -> {
-            if (r.status() == 404) {
+        view.fresh(fresh -> {
+            View.Entry e = view.get(Keys.job(id));
+            if (fresh && e == null) {
                 answer.accept(Answer.error(404, "no such job"));
-            } else if (r.ok() && Records.isOver(r.body().path("data"))) {
-                answer.accept(over(id, r.body().path("data")));
+            } else if (fresh && Records.isOver(e.data())) {
+                answer.accept(over(id, e.data()));
             } else {
                 answer.accept(Answer.later("no owner"));
             }
@@ -281,18 +309,24 @@
 
     // ---- questions of other nodes ----
 
-    /** Another node asks about a job; only an acting owner knows more than the records. */
-    public void meshStatus(String id, Consumer<Answer> answer) {
-        if (!known(id, answer)) {
-            answer.accept(Answer.error(404, "not owned here"));
+    /** Another node asks about jobs; only an acting owner knows more than the records. What isn't certain is left out. */
+    public Answer meshStatus(JsonNode body) {
+        ObjectNode told = Codec.object();
+        for (JsonNode n : body == null ? Codec.array() : body.path("jobs")) {
+            Answer a = certain(n.asText());
+            if (a != null) {
+                told.set(n.asText(), a.body());
+            }
         }
+        return Answer.of(200, told);
     }
 
     public void meshAbort(String id, Consumer<Answer> answer) {
         if (owned(id) != null) {
             withdraw(id, answer);
-        } else if (!known(id, answer)) {
-            answer.accept(Answer.error(404, "not owned here"));
+        } else {
+            Answer known = certain(id);
+            answer.accept(known != null ? known : Answer.error(404, "not owned here"));
         }
     }
 }
--- a/src/main/java/org/hollypick/cli/Main.java
+++ b/src/main/java/org/hollypick/cli/Main.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import org.hollypick.Node;
 import org.hollypick.config.ConfigException;
+import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
 import org.hollypick.io.HttpServer;
@@ -77,7 +78,7 @@
                 .set(Options.REUSE_ADDRESSES, true)
                 .getMap());
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
-        Network network = new Network(worker.getIoThread(), buffers);
+        Network network = new Network(worker.getIoThread(), buffers, (int) (settings.sockets() * Constants.IDLE_SOCKETS));
         Node node = new Node(network, settings, operator);
         Undertow server = HttpServer.start(worker, buffers, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
         network.after(0, node::start);
--- a/src/main/java/org/hollypick/cli/SelfTest.java
+++ b/src/main/java/org/hollypick/cli/SelfTest.java
@@ -28,11 +28,11 @@
         String mesh = loopback();
         String away = loopback();
         Settings settings = new Settings("self", "zone", users, mesh, List.of(), away, away, List.of("zone"), Map.of(), List.of(),
-                3, 30, 50, 100, 30, 8192, 12, 8, 5);
+                3, 30, 50, 100, 30, 8192, 12, 8, 5, 1000);
         Undertow server = Main.serve(settings, OperatorSettings.defaults());
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
-        Network client = new Network(worker.getIoThread(), new DefaultByteBufferPool(true, 8 * 1024));
+        Network client = new Network(worker.getIoThread(), new DefaultByteBufferPool(true, 8 * 1024), 10);
         boolean ok = true;
         for (Call call : List.of(
                 Call.of(users, "GET", "/ready", null, 5_000),
--- a/src/main/java/org/hollypick/cluster/Keys.java
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -4,10 +4,12 @@
 public final class Keys {
     public static final String PREFIX = "h/";
     public static final String ROSTER = "h/roster";
+    /** Nothing is ever written here. */
+    public static final String NEVER = "h/never";
     private static final String MEMBER = "h/n/";
     public static final String JOB = "h/j/";
     public static final String PROGRESS = "h/p/";
-    public static final String MACHINE = "h/m/";
+    public static final String MACHINES = "h/m/";
     public static final String SIZES = "h/s/";
 
     private Keys() {}
@@ -24,8 +26,9 @@
         return PROGRESS + id + "/" + chunk;
     }
 
-    public static String machine(String id) {
-        return MACHINE + id;
+    /** A key that is used once: no other record of machines ever has it. */
+    public static String machines(String node, long baton, long count) {
+        return MACHINES + node + "/" + Long.toUnsignedString(baton) + "/" + count;
     }
 
     public static String sizes(String node) {
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -38,6 +38,7 @@
     /** Until when this node has promised not to claim. */
     private long silentUntil;
     private boolean claiming;
+    private long claimNotBefore;
     private int incarnation;
 
     public Membership(Runtime runtime, StateClient state, Settings settings, View view, Runnable changed) {
@@ -204,6 +205,9 @@
         if (!view.loaded() || baton == 0 || rosterStamp() != baton || free()) {
             return false;
         }
+        if (held && runtime.now() - renewedAt < Constants.PROMISE_AFTER_MS) {
+            return false; // the state service is there: the asker alone is cut off from it, and its work is better taken over
+        }
         silentUntil = Math.max(silentUntil, runtime.now() + possibly(Constants.PROMISE_MS));
         return true;
     }
@@ -236,13 +240,22 @@
         return view.stamp(Keys.ROSTER);
     }
 
+    /** Gives up the lead, and this incarnation with it, so that another controller takes over. */
+    public void resign() {
+        long old = tenancy;
+        claimNotBefore = runtime.now() + Constants.RESIGNED_MS;
+        join();
+        state.end(old, r -> LOG.info("resigned tenancy={} status={}", Long.toUnsignedString(old), r.status()));
+        changed.run();
+    }
+
     /** Claims the lead when nobody can hold it: the named leader's member key is gone or another incarnation's. */
     public void claimIfFree() {
         if (claiming || !view.loaded() || memberStamp == 0 || !valid() || !free()) {
             return;
         }
         claiming = true;
-        if (promised()) {
+        if (promised() || runtime.now() < claimNotBefore) {
             runtime.after(Constants.CLAIM_STEP_MS, () -> {
                 claiming = false;
                 claimIfFree();
--- a/src/main/java/org/hollypick/cluster/View.java
+++ b/src/main/java/org/hollypick/cluster/View.java
@@ -29,6 +29,13 @@
     private long epoch;
     private boolean loaded;
     private long watchedAt;
+    /** Who wants to know when this copy holds all that was true when they asked; those of the read under way, and later ones. */
+    private List<Consumer<Boolean>> asking = new ArrayList<>();
+    private boolean reading;
+    private final List<CatchUp> catchingUp = new ArrayList<>();
+
+    /** Waits until this copy has reached an epoch; given up after a while. */
+    private record CatchUp(long epoch, long until, List<Consumer<Boolean>> then) {}
 
     public View(Runtime runtime, StateClient state, String prefix, Consumer<List<String>> changed) {
         this.runtime = runtime;
@@ -54,6 +61,48 @@
         return entries;
     }
 
+    /**
+     * Calls back once this copy is at least as new as the service was at some moment after this call, or with false if that can't
+     * be told. One read of the epoch serves all who ask in the meantime: the answer to a key that doesn't exist carries it.
+     */
+    public void fresh(Consumer<Boolean> then) {
+        asking.add(then);
+        if (!reading) {
+            readEpoch();
+        }
+    }
+
+    private void readEpoch() {
+        reading = true;
+        List<Consumer<Boolean>> batch = asking;
+        asking = new ArrayList<>();
+        state.get(Keys.NEVER, r -> {
+            if (r.status() == 404 && loaded) {
+                catchingUp.add(new CatchUp(Codec.u64(r.body().path("epoch")), runtime.now() + Constants.CATCH_UP_MS, batch));
+                runtime.after(Constants.CATCH_UP_MS, this::caughtUp);
+                caughtUp();
+            } else {
+                batch.forEach(c -> c.accept(false));
+            }
+            runtime.after(Constants.WATCH_GAP_MS, () -> {
+                reading = false;
+                if (!asking.isEmpty()) {
+                    readEpoch();
+                }
+            });
+        });
+    }
+
+    private void caughtUp() {
+        for (CatchUp c : new ArrayList<>(catchingUp)) {
+            boolean reached = Long.compareUnsigned(epoch, c.epoch) >= 0;
+            if (reached || runtime.now() >= c.until) {
+                catchingUp.remove(c);
+                c.then.forEach(t -> t.accept(reached));
+            }
+        }
+    }
+
     public void load() {
         page(null, new HashMap<>(), -1);
     }
@@ -78,6 +127,7 @@
             epoch = at;
             loaded = true;
             changed.accept(new ArrayList<>(into.keySet()));
+            caughtUp();
             watch();
         });
     }
@@ -118,6 +168,7 @@
         if (!keys.isEmpty()) {
             changed.accept(keys);
         }
+        caughtUp();
         long gap = Constants.WATCH_GAP_MS - (runtime.now() - watchedAt);
         if (gap > 0) {
             runtime.after(gap, this::watch);
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -26,6 +26,8 @@
     public static final long PROMISE_EVERY_MS = 700;
     /** Milliseconds that nodes wait, by rank, before claiming a free leadership, so that claims rarely collide. */
     public static final long CLAIM_STEP_MS = 150;
+    /** Milliseconds for which a controller that gave up its lead leaves it to others: they claim within a second. */
+    public static final long RESIGNED_MS = 6_000;
     /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
     public static final int ATTEMPT_BITS = 20;
 
@@ -39,14 +41,22 @@
     public static final long WATCH_MS = 8_000;
     /** Milliseconds between two watch requests of one node: bounds the requests a busy stream costs. */
     public static final long WATCH_GAP_MS = 60;
+    /** Milliseconds within which the watch has to bring what a read has told of; users wait 2 s for a poll. */
+    public static final long CATCH_UP_MS = 1_000;
+    /** Milliseconds for which a node gathers users' polls before it asks the owner about all of them at once. */
+    public static final long GATHER_MS = 40;
     /** Milliseconds for a call to the cloud. */
     public static final long CLOUD_TIMEOUT_MS = 5_000;
     /** Milliseconds for an order to a worker; after that its outcome is open. */
     public static final long ORDER_TIMEOUT_MS = 1_200;
     /** Milliseconds for a question to another node; users wait 2 s for a poll. */
     public static final long MESH_TIMEOUT_MS = 700;
+    /** Milliseconds for which an owner that left a question unanswered isn't asked: its record is read instead. */
+    public static final long OWNER_SILENT_MS = 3_000;
     /** Connections kept to one address at most; keeps sockets bounded. */
     public static final int CONNECTIONS_PER_ADDRESS = 6;
+    /** Share of the sockets for connections that this node opened and keeps for later; workers and users need most of the rest. */
+    public static final double IDLE_SOCKETS = 0.15;
     /** Calls waiting for a connection to one address; beyond it the call fails at once. */
     public static final int QUEUED_PER_ADDRESS = 200;
     /** Ratio of the state service's limits that the nodes plan to use together. */
@@ -73,6 +83,12 @@
     public static final long TICK_MS = 250;
     /** Milliseconds between placement passes after events: several events share one pass. */
     public static final long PASS_GAP_MS = 20;
+    /** Milliseconds after which everything that waits is looked through again, for tasks that had to wait for a while. */
+    public static final long PASS_EVERY_MS = 1_000;
+    /** Milliseconds between writes to the list of machines: those that come up close together share one. */
+    public static final long REGISTER_GAP_MS = 200;
+    /** Bytes of one machine in a durable record, with a third to spare: names, type, zone and address. */
+    public static final int MACHINE_RECORD_BYTES = 160;
     /** Milliseconds between looks at the cloud's machine list. */
     public static final long LIST_MS = 3_000;
     /** Milliseconds between refreshes of the machine types and their prices. */
@@ -113,8 +129,19 @@
     /** Milliseconds a task waits after a failure, doubled each time its job fails, up to the maximum. */
     public static final long TASK_BACKOFF_MS = 1_000;
     public static final long TASK_BACKOFF_MAX_MS = 30_000;
-    /** Milliseconds without any word from a machine after which it is asked directly. */
+    /** Milliseconds beyond the longest time between two reports after which a machine is asked directly: lost packets, a busy node. */
+    public static final long PROBE_SLACK_MS = 300;
+    /** The same, without any word at all, while machines seem to fail together, and after an unanswered call. */
     public static final long PROBE_MS = 1_000;
+    /** Milliseconds for which machines with services are asked early after one of them left a call unanswered: hangs come in groups. */
+    public static final long SUSPICION_MS = 3_000;
+    /** Direct calls under way at most: bounds sockets and what the answers cost at once. */
+    public static final int DIRECT_OPEN = 96;
+    /** Orders in one answer or call at most: 64 KiB. */
+    public static final int ORDERS_MAX = 300;
+    /** Milliseconds for which nearly all machines are silent until the owner gives up its lead: others may reach them, and worker leases are
+     * several times as long. */
+    public static final long CUT_OFF_MS = 3_000;
     /** Milliseconds without any word from a machine after which it is returned; two questions fit in before. */
     public static final long SILENT_MS = 3_500;
     /** Direct calls left unanswered in a row before silence counts. */
--- a/src/main/java/org/hollypick/config/Settings.java
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -18,7 +18,7 @@
         String cloud, String state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
         double reportS, double leaseS, double cancelS,
         double stateRps, double stateWriteRps, int valueBytes, int txnOps,
-        double cloudRps, double listLagS) {
+        double cloudRps, double listLagS, int sockets) {
 
     public record Sibling(String node, String zone, String addr) {}
 
@@ -68,7 +68,8 @@
                 List.copyOf(zones), teams, List.copyOf(objectives),
                 positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "cancel_s"),
                 positive(state, "rps"), positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
-                (int) positive(state, "txn_ops"), positive(cloud, "rps"), positive(cloud, "list_lag_s"));
+                (int) positive(state, "txn_ops"), positive(cloud, "rps"), positive(cloud, "list_lag_s"),
+                (int) positive(table(params, "resources"), "sockets"));
     }
 
     private static JsonNode table(JsonNode at, String field) {
--- /dev/null
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -0,0 +1,210 @@
+package org.hollypick.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.hollypick.cloud.CloudClient;
+import org.hollypick.config.Constants;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.fleet.Fleet;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Dealings with the cloud in one term: rents, returns and the list that tells which machines there are. */
+final class Rentals {
+    private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final Scheduler scheduler;
+    private final CloudClient cloud;
+    private final Map<String, MachineType> types;
+    private final BooleanSupplier acting;
+    private final Runnable pump;
+    private final Fleet fleet;
+    private final long startedAt;
+    private final Map<Fleet.Kind, Hire> hiring = new HashMap<>();
+    private final Set<String> returning = new HashSet<>();
+    private final Map<String, Long> listedAt = new HashMap<>();
+    private boolean listing;
+    private boolean listedOnce;
+    private long hires;
+
+    private record Hire(String name, int count) {}
+
+    Rentals(Runtime runtime, Settings settings, OperatorSettings operator, Scheduler scheduler, CloudClient cloud,
+            Map<String, MachineType> types, BooleanSupplier acting, Runnable pump) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.cloud = cloud;
+        this.types = types;
+        this.acting = acting;
+        this.pump = pump;
+        this.fleet = new Fleet(operator);
+        this.startedAt = runtime.now();
+    }
+
+    void giveBack(List<Machine> list, String why) {
+        List<String> names = new ArrayList<>();
+        for (Machine m : list.subList(0, Math.min(list.size(), Constants.RETURN_MAX))) {
+            if (returning.add(m.id)) {
+                m.returning = true;
+                names.add(m.id);
+            }
+        }
+        if (names.isEmpty()) {
+            return;
+        }
+        LOG.info("return machines={} why={}", names, why);
+        cloud.giveBack(names, r -> {
+            names.forEach(returning::remove);
+            for (String id : names) {
+                if (r.ok()) {
+                    scheduler.machineGone(id);
+                }
+            }
+            pump.run();
+        });
+    }
+
+    void rentAndReturn(long now) {
+        // Machines whose return wasn't answered: again, until it is.
+        giveBack(scheduler.machines.values().stream().filter(m -> m.returning && !returning.contains(m.id)).toList(), "again");
+        if (!listedOnce || now - startedAt < settings.listLagS() * 2000 && startedWithMachines()) {
+            return; // machines that an earlier owner rented may not be listed yet
+        }
+        Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
+        for (Fleet.Rent rent : plan.rents()) {
+            if (!hiring.containsKey(rent.kind())) {
+                hire(rent.kind(), new Hire(settings.node() + "-" + scheduler.baton + "-" + hires++, rent.count()));
+            }
+        }
+        giveBack(plan.returns(), "idle");
+    }
+
+    private boolean startedWithMachines() {
+        return !scheduler.machines.isEmpty();
+    }
+
+    private void hire(Fleet.Kind kind, Hire hire) {
+        hiring.put(kind, hire);
+        if (!acting.getAsBoolean()) {
+            hiring.remove(kind);
+            return;
+        }
+        cloud.hire(hire.name(), kind.type(), kind.zone(), kind.spot(), hire.count(), r -> {
+            LOG.info("hire type={} zone={} spot={} wanted={} status={} got={}", kind.type(), kind.zone(), kind.spot(), hire.count(),
+                    r.status(), r.body().path("bothies").size());
+            long now = runtime.now();
+            if (r.status() == 200) {
+                hiring.remove(kind);
+                int got = 0;
+                for (JsonNode id : r.body().path("bothies")) {
+                    got++;
+                    if (!scheduler.machines.containsKey(id.asText()) && !scheduler.gone.contains(id.asText()) && types.containsKey(kind.type())) {
+                        scheduler.addMachine(id.asText(), types.get(kind.type()), kind.zone(), kind.spot(), false, now);
+                    }
+                }
+                if (got < hire.count()) {
+                    fleet.refused(kind, now);
+                }
+            } else if (r.status() == Reply.NO_ANSWER) {
+                // It may have been carried out: the same name again gives the same machines.
+                runtime.after(1_000, () -> hire(kind, hire));
+            } else {
+                hiring.remove(kind);
+                if (r.status() == 503) {
+                    fleet.refused(kind, now);
+                }
+            }
+        });
+    }
+
+    void list() {
+        if (!listing) {
+            listing = true;
+            page(null, runtime.now(), new HashMap<>());
+        }
+    }
+
+    private void page(String from, long asked, Map<String, JsonNode> into) {
+        cloud.list(from, r -> {
+            if (!r.ok() || !acting.getAsBoolean()) {
+                listing = false;
+                return;
+            }
+            String last = from;
+            for (JsonNode m : r.body().path("bothies")) {
+                last = m.path("name_id").asText();
+                into.put(last, m);
+            }
+            if (r.body().path("truncated").asBoolean() && last != null && !last.equals(from)) {
+                page(last, asked, into);
+                return;
+            }
+            listing = false;
+            listedOnce = true;
+            listed(into, asked);
+        });
+    }
+
+    private void listed(Map<String, JsonNode> list, long asked) {
+        long now = runtime.now();
+        List<Machine> bad = new ArrayList<>();
+        list.forEach((id, l) -> {
+            if (scheduler.gone.contains(id)) {
+                return;
+            }
+            listedAt.putIfAbsent(id, now);
+            Machine m = scheduler.machines.get(id);
+            String status = l.path("status").asText();
+            if (m == null) {
+                MachineType type = types.get(l.path("flavour").asText());
+                if (type == null) {
+                    return;
+                }
+                m = scheduler.addMachine(id, type, l.path("hall").asText(), l.path("lendable").asBoolean(), false,
+                        now - (long) (l.path("age_s").asDouble() * 1000));
+            }
+            if (m.addr.isEmpty()) {
+                m.addr = l.path("addr").asText("");
+            }
+            boolean slowBoot = !m.up && !m.registered && (status.equals("running")
+                    ? now - listedAt.get(id) > Constants.NEVER_REPORTED_MS
+                    : now - m.createdAt > Constants.BOOT_PATIENCE * m.type.bootS() * 1000);
+            if (!m.returning && (status.equals("failed") || slowBoot)) {
+                bad.add(m);
+            }
+        });
+        giveBack(bad, "failed or never up");
+        // Once listed, a machine stays listed until it is gone; a list is at most twice the lag old.
+        Set<String> missing = new LinkedHashSet<>();
+        for (Machine m : scheduler.machines.values()) {
+            Long first = listedAt.get(m.id);
+            if (first != null && !list.containsKey(m.id) && asked - first > settings.listLagS() * 2000 * (1 + Constants.DRIFT) + 500) {
+                missing.add(m.id);
+            }
+        }
+        for (String id : missing) {
+            LOG.info("machine gone from the list machine={}", id);
+            scheduler.machineGone(id);
+        }
+        if (!missing.isEmpty()) {
+            pump.run();
+        }
+    }
+}
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -7,7 +7,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,10 +23,7 @@
 import org.hollypick.core.Job;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
-import org.hollypick.core.fleet.Fleet;
 import org.hollypick.core.ledger.Machine;
-import org.hollypick.core.ledger.Order;
-import org.hollypick.core.ledger.Placement;
 import org.hollypick.core.ledger.Report;
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
@@ -35,7 +31,6 @@
 import org.hollypick.io.Runtime;
 import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerClient;
-import org.hollypick.worker.WorkerCodec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,29 +45,23 @@
     public final Scheduler scheduler;
     private final Runtime runtime;
     private final Settings settings;
-    private final OperatorSettings operator;
     private final View view;
     private final StateClient state;
-    private final CloudClient cloud;
-    private final WorkerClient workers;
+    private final Workers workers;
+    private final Rentals rentals;
+    private final Registry registry;
     private final BooleanSupplier entitled;
     private final Runnable fence;
     private final Map<String, MachineType> types;
-    private final Fleet fleet;
-    private final long startedAt;
+    private final Runnable resign;
 
     private boolean ended;
     private boolean pumping;
     private boolean flushing;
-    private boolean listing;
-    private boolean listedOnce;
-    private long hires;
-    private final Map<Fleet.Kind, Hire> hiring = new HashMap<>();
-    private final Set<String> returning = new HashSet<>();
-    private final Map<String, Long> listedAt = new HashMap<>();
     private long lastTick;
     private long smoothSince;
     private long nextFleet;
+    private long nextPass;
     private long nextList;
     private long nextSizes;
     private long nextSummary;
@@ -80,26 +69,23 @@
     /** How late this loop runs, in milliseconds: what the node's processor share does to it. */
     private final Histogram lateness = new Histogram(2);
 
-    private record Hire(String name, int count) {}
-
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, StateClient state, CloudClient cloud,
-            WorkerClient workers, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence) {
+            WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence, Runnable resign) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
-        this.operator = operator;
         this.view = view;
         this.state = state;
-        this.cloud = cloud;
-        this.workers = workers;
         this.types = types;
         this.entitled = entitled;
         this.fence = fence;
-        this.fleet = new Fleet(operator);
-        this.startedAt = runtime.now();
-        this.lastTick = startedAt - Constants.TICK_MS;
-        this.smoothSince = startedAt;
-        this.scheduler = new Scheduler(baton, settings, operator.firstShare(), startedAt);
+        this.resign = resign;
+        this.lastTick = runtime.now() - Constants.TICK_MS;
+        this.smoothSince = runtime.now();
+        this.scheduler = new Scheduler(baton, settings, operator.firstShare(), runtime.now());
+        this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, this::pump);
+        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, this::pump);
+        this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
     }
 
     /** Starts from the records; the view holds every change up to the roster's own, and older owners can make none after it. */
@@ -109,12 +95,11 @@
         view.entries().forEach((key, e) -> {
             if (key.startsWith(Keys.SIZES)) {
                 e.data().path("sizes").fields().forEachRemaining(f -> sizes.put(f.getKey(), f.getValue().asDouble()));
-            } else if (key.startsWith(Keys.MACHINE)) {
-                loadMachine(key.substring(Keys.MACHINE.length()), e.data());
-            } else {
+            } else if (!key.startsWith(Keys.MACHINES)) {
                 keys.add(key);
             }
         });
+        registry.load(this::loadMachine);
         recordsChanged(keys);
         for (Job job : scheduler.jobs.values()) {
             for (int chunk = 0; chunk < Records.chunks(job.spec.tasks()); chunk++) {
@@ -151,6 +136,11 @@
         m.lastReportAt = runtime.now();
     }
 
+    /** A worker's report, while this node may act. */
+    public Answer hello(Report r) {
+        return workers.hello(r);
+    }
+
     /** Whether this node may act for this term now. */
     public boolean acting() {
         return !ended && entitled.getAsBoolean();
@@ -161,6 +151,7 @@
     /** Jobs that appeared, and ends that a transaction of ours brought although its answer got lost. */
     public void recordsChanged(Collection<String> keys) {
         long now = runtime.now();
+        registry.changed(keys);
         for (String key : keys) {
             if (!key.startsWith(Keys.JOB)) {
                 continue;
@@ -278,39 +269,17 @@
                 included.put(job, (BitSet) job.done.clone());
             }
         }
-        for (Machine m : scheduler.machines.values()) {
-            if (!m.registered && !m.registering && m.up && txn.ops() < settings.txnOps()) {
-                m.registering = true;
-                txn.put(Keys.machine(m.id), Records.machine(m));
-            }
-        }
-        List<String> drops = new ArrayList<>();
-        for (String id : new ArrayList<>(scheduler.recordsToDrop)) {
-            if (view.get(Keys.machine(id)) == null) {
-                scheduler.recordsToDrop.remove(id);
-            } else if (txn.ops() < settings.txnOps()) {
-                txn.drop(Keys.machine(id));
-                drops.add(id);
-            }
-        }
         if (txn.ops() == 0) {
             return;
         }
         flushing = true;
-        List<Machine> registering = scheduler.machines.values().stream().filter(m -> m.registering).toList();
         state.commit(txn, r -> {
             flushing = false;
-            registering.forEach(m -> {
-                m.registering = false;
-                m.registered |= r.ok();
-            });
             if (r.ok()) {
-                drops.forEach(scheduler.recordsToDrop::remove);
                 included.forEach((job, bits) -> {
                     job.committed.or(bits);
                     scheduler.progressCommitted(job);
                 });
-                scheduler.passWanted |= !registering.isEmpty();
                 pump();
             } else {
                 scheduler.progressDirty.addAll(included.keySet());
@@ -318,6 +287,17 @@
         });
     }
 
+    private void register() {
+        scheduler.toRegister.forEach(registry::add);
+        scheduler.toRegister.clear();
+        scheduler.toForget.forEach(registry::drop);
+        scheduler.toForget.clear();
+        registry.flush(machines -> {
+            machines.forEach(scheduler::registered);
+            pump();
+        });
+    }
+
     // ---- the regular loop ----
 
     private void loop() {
@@ -332,16 +312,20 @@
         lastTick = now;
         if (acting()) {
             scheduler.tick(now);
-            scheduler.passWanted = true;
-            silence(now);
-            contactUnheard();
+            scheduler.passWanted |= now >= nextPass;
+            rentals.giveBack(workers.silent(now, smoothSince), "silent");
+            if (workers.cutOff(now)) {
+                LOG.info("cut off from the machines, resigning baton={}", baton);
+                resign.run();
+            }
+            workers.contactUnheard();
             if (now >= nextList) {
                 nextList = now + Constants.LIST_MS;
-                list();
+                rentals.list();
             }
             if (now >= nextFleet) {
                 nextFleet = now + Constants.FLEET_MS;
-                rentAndReturn(now);
+                rentals.rentAndReturn(now);
                 if (scheduler.fenceDue(now)) {
                     fence.run();
                 }
@@ -372,11 +356,11 @@
         int fetching = 0;
         double serviceCores = 0;
         double waiting = 0;
+        for (Machine m : scheduler.machines.values()) {
+            fetching += m.startingTasks();
+            serviceCores += m.serviceCpus();
+        }
         for (Job job : scheduler.jobs.values()) {
-            for (Placement p : job.live.values()) {
-                fetching += p.state == Placement.State.FETCHING || p.state == Placement.State.SENT ? 1 : 0;
-                serviceCores += job.spec.service() ? job.spec.cpus() : 0;
-            }
             waiting += job.pending.cardinality() * job.spec.cpus();
         }
         LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} fetching={} late_p99={} late_max={}",
@@ -385,7 +369,7 @@
         lateness.reset();
     }
 
-    /** One pass and its orders, shared by all events that come close together. */
+    /** One look at what changed and its orders, shared by all events that come close together. */
     public void pump() {
         if (pumping || ended) {
             return;
@@ -396,13 +380,17 @@
             if (!acting()) {
                 return;
             }
+            long now = runtime.now();
             if (scheduler.passWanted) {
-                scheduler.pass(runtime.now());
-            }
-            for (Machine m : new ArrayList<>(scheduler.ordersDirty)) {
-                scheduler.ordersDirty.remove(m);
-                direct(m, false);
-            }
+                scheduler.freed.clear();
+                nextPass = now + Constants.PASS_EVERY_MS;
+                scheduler.pass(now);
+            }
+            List<Machine> freed = new ArrayList<>(scheduler.freed);
+            scheduler.freed.clear();
+            freed.forEach(m -> scheduler.fill(m, now));
+            workers.send();
+            register();
             flush();
         });
     }
@@ -422,274 +410,4 @@
             });
         }
     }
-
-    // ---- workers ----
-
-    /** A worker's report, while this node may act. */
-    public Answer hello(Report r) {
-        long now = runtime.now();
-        if (Long.compareUnsigned(r.baton(), baton) > 0 || scheduler.gone.contains(r.machine())) {
-            return Answer.later("not for this node");
-        }
-        Machine m = scheduler.machines.get(r.machine());
-        if (m == null) {
-            MachineType type = types.get(r.type());
-            if (type == null) {
-                return Answer.later("machine type not known yet");
-            }
-            LOG.info("machine machine={} type={} zone={} spot={}", r.machine(), r.type(), r.zone(), r.spot());
-            m = scheduler.addMachine(r.machine(), type, r.zone(), r.spot(), false, now);
-        }
-        boolean was = m.up;
-        if (!accept(m, r, true, now) && (!m.up || r.tenure() != m.tenure || Long.compareUnsigned(r.tenure(), m.minTenure) < 0)) {
-            return Answer.later("a report of an earlier tenure");
-        }
-        if (!was) {
-            LOG.info("machine up machine={} tenure={} tasks={}", m.id, r.tenure(), r.tasks().size());
-        }
-        m.answeredAt = now;
-        if (scheduler.passWanted) {
-            scheduler.pass(now);
-        }
-        List<Order> orders = limited(scheduler.orders(m));
-        scheduler.sentInAnswer(m, orders);
-        if (m.heard) {
-            scheduler.ordersDirty.remove(m);
-        }
-        pump();
-        return Answer.of(200, WorkerCodec.orders(baton, orders));
-    }
-
-    private boolean accept(Machine m, Report r, boolean hello, long now) {
-        m.lastReportAt = now;
-        m.unanswered = 0;
-        boolean fresh = scheduler.report(m, r, hello, now);
-        if (fresh) {
-            pump();
-        }
-        return fresh;
-    }
-
-    /** An answer holds 64 KiB at most; what is left out follows with the next. */
-    private static List<Order> limited(List<Order> orders) {
-        return orders.size() <= 300 ? orders : orders.subList(0, 300);
-    }
-
-    /** Sends what the machine should do; {@code probe}: even if that is nothing, to hear from it. */
-    private void direct(Machine m, boolean probe) {
-        long now = runtime.now();
-        if (!acting() || m.directBusy || m.addr.isEmpty() || m.directAfter > now || m.returning) {
-            return;
-        }
-        List<Order> orders = m.up ? limited(scheduler.orders(m)) : List.of();
-        if (orders.isEmpty() && m.heard && !probe) {
-            return;
-        }
-        long tenure = m.up ? m.tenure : 1;
-        scheduler.sentDirect(m, orders);
-        workers.command(m.addr, baton, tenure, orders, r -> {
-            boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.status() == Reply.NOT_SENT;
-            scheduler.directEnded(m, orders, tenure, settled);
-            if (r.status() == 200 || r.status() == 409) {
-                Report report = WorkerCodec.report(r.body());
-                if (report != null && scheduler.machines.get(m.id) == m && Long.compareUnsigned(report.baton(), baton) <= 0) {
-                    boolean again = !m.heard;
-                    accept(m, report, false, runtime.now());
-                    if (again && !m.heard) {
-                        direct(m, true);
-                    }
-                }
-            } else {
-                m.unanswered++;
-                LOG.debug("order unanswered machine={} status={}", m.id, r.status());
-                m.directAfter = runtime.now() + Constants.DIRECT_PAUSE_MS;
-            }
-        });
-    }
-
-    /** After a takeover nothing tells more quickly what is where than asking every registered machine at once. */
-    private void contactUnheard() {
-        for (Machine m : scheduler.machines.values()) {
-            if (!m.heard) {
-                direct(m, true);
-            }
-        }
-    }
-
-    // ---- machines ----
-
-    /** Machines that say nothing are returned: the answer proves that nothing runs there, long before the lease does. */
-    private void silence(long now) {
-        if (now - startedAt < Constants.SILENT_GRACE_MS || now - smoothSince < Constants.SILENT_GRACE_MS) {
-            return;
-        }
-        List<Machine> silent = new ArrayList<>();
-        int up = 0;
-        for (Machine m : scheduler.machines.values()) {
-            if (m.returning || !m.up && !m.registered) {
-                continue;
-            }
-            up++;
-            long quiet = now - m.lastReportAt;
-            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED) {
-                silent.add(m);
-            } else if (quiet > Constants.PROBE_MS) {
-                direct(m, true);
-            }
-        }
-        if (silent.size() > Math.max(2, up * Constants.SILENT_SHARE)) {
-            return;
-        }
-        giveBack(silent, "silent");
-    }
-
-    private void giveBack(List<Machine> list, String why) {
-        List<String> names = new ArrayList<>();
-        for (Machine m : list.subList(0, Math.min(list.size(), Constants.RETURN_MAX))) {
-            if (returning.add(m.id)) {
-                m.returning = true;
-                names.add(m.id);
-            }
-        }
-        if (names.isEmpty()) {
-            return;
-        }
-        LOG.info("return machines={} why={}", names, why);
-        cloud.giveBack(names, r -> {
-            names.forEach(returning::remove);
-            for (String id : names) {
-                if (r.ok()) {
-                    scheduler.machineGone(id);
-                }
-            }
-            pump();
-        });
-    }
-
-    private void rentAndReturn(long now) {
-        // Machines whose return wasn't answered: again, until it is.
-        giveBack(scheduler.machines.values().stream().filter(m -> m.returning && !returning.contains(m.id)).toList(), "again");
-        if (!listedOnce || now - startedAt < settings.listLagS() * 2000 && startedWithMachines()) {
-            return; // machines that an earlier owner rented may not be listed yet
-        }
-        Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
-        for (Fleet.Rent rent : plan.rents()) {
-            if (!hiring.containsKey(rent.kind())) {
-                hire(rent.kind(), new Hire(settings.node() + "-" + baton + "-" + hires++, rent.count()));
-            }
-        }
-        giveBack(plan.returns(), "idle");
-    }
-
-    private boolean startedWithMachines() {
-        return !scheduler.machines.isEmpty();
-    }
-
-    private void hire(Fleet.Kind kind, Hire hire) {
-        hiring.put(kind, hire);
-        if (!acting()) {
-            hiring.remove(kind);
-            return;
-        }
-        cloud.hire(hire.name(), kind.type(), kind.zone(), kind.spot(), hire.count(), r -> {
-            LOG.info("hire type={} zone={} spot={} wanted={} status={} got={}", kind.type(), kind.zone(), kind.spot(), hire.count(),
-                    r.status(), r.body().path("bothies").size());
-            long now = runtime.now();
-            if (r.status() == 200) {
-                hiring.remove(kind);
-                int got = 0;
-                for (JsonNode id : r.body().path("bothies")) {
-                    got++;
-                    if (!scheduler.machines.containsKey(id.asText()) && !scheduler.gone.contains(id.asText()) && types.containsKey(kind.type())) {
-                        scheduler.addMachine(id.asText(), types.get(kind.type()), kind.zone(), kind.spot(), false, now);
-                    }
-                }
-                if (got < hire.count()) {
-                    fleet.refused(kind, now);
-                }
-            } else if (r.status() == Reply.NO_ANSWER) {
-                // It may have been carried out: the same name again gives the same machines.
-                runtime.after(1_000, () -> hire(kind, hire));
-            } else {
-                hiring.remove(kind);
-                if (r.status() == 503) {
-                    fleet.refused(kind, now);
-                }
-            }
-        });
-    }
-
-    private void list() {
-        if (!listing) {
-            listing = true;
-            page(null, runtime.now(), new HashMap<>());
-        }
-    }
-
-    private void page(String from, long asked, Map<String, JsonNode> into) {
-        cloud.list(from, r -> {
-            if (!r.ok() || ended) {
-                listing = false;
-                return;
-            }
-            String last = from;
-            for (JsonNode m : r.body().path("bothies")) {
-                last = m.path("name_id").asText();
-                into.put(last, m);
-            }
-            if (r.body().path("truncated").asBoolean() && last != null && !last.equals(from)) {
-                page(last, asked, into);
-                return;
-            }
-            listing = false;
-            listedOnce = true;
-            listed(into, asked);
-        });
-    }
-
-    private void listed(Map<String, JsonNode> list, long asked) {
-        long now = runtime.now();
-        List<Machine> bad = new ArrayList<>();
-        list.forEach((id, l) -> {
-            if (scheduler.gone.contains(id)) {
-                return;
-            }
-            listedAt.putIfAbsent(id, now);
-            Machine m = scheduler.machines.get(id);
-            String status = l.path("status").asText();
-            if (m == null) {
-                MachineType type = types.get(l.path("flavour").asText());
-                if (type == null) {
-                    return;
-                }
-                m = scheduler.addMachine(id, type, l.path("hall").asText(), l.path("lendable").asBoolean(), false,
-                        now - (long) (l.path("age_s").asDouble() * 1000));
-            }
-            if (m.addr.isEmpty()) {
-                m.addr = l.path("addr").asText("");
-            }
-            boolean slowBoot = !m.up && !m.registered && (status.equals("running")
-                    ? now - listedAt.get(id) > Constants.NEVER_REPORTED_MS
-                    : now - m.createdAt > Constants.BOOT_PATIENCE * m.type.bootS() * 1000);
-            if (!m.returning && (status.equals("failed") || slowBoot)) {
-                bad.add(m);
-            }
-        });
-        giveBack(bad, "failed or never up");
-        // Once listed, a machine stays listed until it is gone; a list is at most twice the lag old.
-        Set<String> missing = new LinkedHashSet<>();
-        for (Machine m : scheduler.machines.values()) {
-            Long first = listedAt.get(m.id);
-            if (first != null && !list.containsKey(m.id) && asked - first > settings.listLagS() * 2000 * (1 + Constants.DRIFT) + 500) {
-                missing.add(m.id);
-            }
-        }
-        for (String id : missing) {
-            LOG.info("machine gone from the list machine={}", id);
-            scheduler.machineGone(id);
-        }
-        if (!missing.isEmpty()) {
-            pump();
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -0,0 +1,213 @@
+package org.hollypick.control;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Order;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.worker.WorkerClient;
+import org.hollypick.worker.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Dealings with the workers in one term: their reports, the orders in answers and sent directly, and who has fallen silent. */
+final class Workers {
+    private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final Scheduler scheduler;
+    private final WorkerClient client;
+    private final Map<String, MachineType> types;
+    private final BooleanSupplier acting;
+    private final Runnable pump;
+    private final long startedAt;
+    /** Direct calls under way. */
+    private int open;
+    /** Until when machines with services are asked early, since one of them left a question unanswered. */
+    private long suspiciousUntil;
+    /** Since when nearly all machines have been silent; 0 if they aren't. */
+    private long cutOffSince;
+
+    Workers(Runtime runtime, Settings settings, Scheduler scheduler, WorkerClient client, Map<String, MachineType> types,
+            BooleanSupplier acting, Runnable pump) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.client = client;
+        this.types = types;
+        this.acting = acting;
+        this.pump = pump;
+        this.startedAt = runtime.now();
+    }
+
+    /** A worker's report, while this node may act. */
+    Answer hello(Report r) {
+        long now = runtime.now();
+        if (Long.compareUnsigned(r.baton(), scheduler.baton) > 0 || scheduler.gone.contains(r.machine())) {
+            return Answer.later("not for this node");
+        }
+        Machine m = scheduler.machines.get(r.machine());
+        if (m == null) {
+            MachineType type = types.get(r.type());
+            if (type == null) {
+                return Answer.later("machine type not known yet");
+            }
+            LOG.info("machine machine={} type={} zone={} spot={}", r.machine(), r.type(), r.zone(), r.spot());
+            m = scheduler.addMachine(r.machine(), type, r.zone(), r.spot(), false, now);
+        }
+        boolean was = m.up;
+        if (!accept(m, r, true, now) && (!m.up || r.tenure() != m.tenure || Long.compareUnsigned(r.tenure(), m.minTenure) < 0)) {
+            return Answer.later("a report of an earlier tenure");
+        }
+        if (!was) {
+            LOG.info("machine up machine={} tenure={} tasks={}", m.id, r.tenure(), r.tasks().size());
+        }
+        m.answeredAt = now;
+        if (scheduler.freed.remove(m)) {
+            scheduler.fill(m, now);
+        }
+        List<Order> orders = limited(scheduler.orders(m));
+        scheduler.sentInAnswer(m, orders);
+        if (m.heard) {
+            scheduler.ordersDirty.remove(m);
+            scheduler.ordersUrgent.remove(m);
+        }
+        pump.run();
+        return Answer.of(200, WorkerCodec.orders(scheduler.baton, orders));
+    }
+
+    private boolean accept(Machine m, Report r, boolean hello, long now) {
+        m.lastReportAt = now;
+        m.unanswered = 0;
+        return scheduler.report(m, r, hello, now);
+    }
+
+    /** An answer holds 64 KiB at most; what is left out follows with the next. */
+    private static List<Order> limited(List<Order> orders) {
+        return orders.size() <= Constants.ORDERS_MAX ? orders : orders.subList(0, Constants.ORDERS_MAX);
+    }
+
+    /** Sends the orders that wait, those for services first, as many at once as the sockets allow. */
+    void send() {
+        send(scheduler.ordersUrgent);
+        send(scheduler.ordersDirty);
+    }
+
+    private void send(Set<Machine> dirty) {
+        Iterator<Machine> i = dirty.iterator();
+        List<Machine> now = new ArrayList<>();
+        while (i.hasNext() && open + now.size() < Constants.DIRECT_OPEN) {
+            now.add(i.next());
+            i.remove();
+        }
+        now.forEach(m -> direct(m, false));
+    }
+
+    /** Sends what the machine should do at once; {@code probe}: even if that is nothing, to hear from it. */
+    private void direct(Machine m, boolean probe) {
+        if (!acting.getAsBoolean() || m.directBusy || m.addr.isEmpty() || m.directAfter > runtime.now() || m.returning) {
+            return;
+        }
+        List<Order> orders = m.up ? limited(scheduler.orders(m)) : List.of();
+        // What may be cleared can wait for the machine's next report.
+        if (m.heard && !probe && orders.stream().allMatch(o -> o.verb() == Order.Verb.FORGET)) {
+            return;
+        }
+        long tenure = m.up ? m.tenure : 1;
+        scheduler.sentDirect(m, orders);
+        open++;
+        client.command(m.addr, scheduler.baton, tenure, orders, r -> {
+            open--;
+            answered(m, orders, tenure, r);
+            if (!scheduler.ordersUrgent.isEmpty() || !scheduler.ordersDirty.isEmpty() || !scheduler.freed.isEmpty()) {
+                pump.run();
+            }
+        });
+    }
+
+    private void answered(Machine m, List<Order> orders, long tenure, Reply r) {
+        boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.status() == Reply.NOT_SENT;
+        scheduler.directEnded(m, orders, tenure, settled);
+        if (r.status() != 200 && r.status() != 409) {
+            m.unanswered++;
+            m.directAfter = runtime.now() + Constants.DIRECT_PAUSE_MS;
+            if (m.serviceCpus() > 0) {
+                suspiciousUntil = runtime.now() + Constants.SUSPICION_MS;
+            }
+            LOG.debug("order unanswered machine={} status={}", m.id, r.status());
+            return;
+        }
+        Report report = WorkerCodec.report(r.body());
+        if (report != null && scheduler.machines.get(m.id) == m && Long.compareUnsigned(report.baton(), scheduler.baton) <= 0) {
+            boolean again = !m.heard;
+            accept(m, report, false, runtime.now());
+            if (again && !m.heard) {
+                direct(m, true);
+            }
+        }
+    }
+
+    /** After a takeover nothing tells more quickly what is where than asking every registered machine, some at a time. */
+    void contactUnheard() {
+        if (scheduler.settled()) {
+            return;
+        }
+        for (Machine m : scheduler.machines.values()) {
+            if (!m.heard && open < Constants.DIRECT_OPEN) {
+                direct(m, true);
+            }
+        }
+    }
+
+    /**
+     * Asks machines that are quieter than their reports allow, and returns those that leave questions unanswered.
+     * {@code smoothSince}: since when this node itself has run without being held up.
+     */
+    List<Machine> silent(long now, long smoothSince) {
+        if (now - startedAt < Constants.SILENT_GRACE_MS || now - smoothSince < Constants.SILENT_GRACE_MS) {
+            return List.of();
+        }
+        // Machines report within a quarter more than the interval; asking before that costs a call per machine and tells little.
+        long usual = (long) (settings.reportS() * 1_250) + Constants.PROBE_SLACK_MS;
+        List<Machine> silent = new ArrayList<>();
+        int up = 0;
+        for (Machine m : scheduler.machines.values()) {
+            if (m.returning || !m.up && !m.registered) {
+                continue;
+            }
+            up++;
+            long quiet = now - m.lastReportAt;
+            boolean early = m.unanswered > 0 || now < suspiciousUntil && m.serviceCpus() > 0;
+            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED) {
+                silent.add(m);
+            } else if (quiet > (early ? Constants.PROBE_MS : usual) && open < Constants.DIRECT_OPEN) {
+                direct(m, true);
+            }
+        }
+        if (silent.size() <= Math.max(2, up * Constants.SILENT_SHARE)) {
+            cutOffSince = 0;
+            return silent;
+        }
+        if (cutOffSince == 0) {
+            cutOffSince = now;
+        }
+        return List.of();
+    }
+
+    /** So many machines have been silent for so long that another controller should try: this one is cut off from them. */
+    boolean cutOff(long now) {
+        return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS;
+    }
+}
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -2,8 +2,11 @@
 
 import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.hollypick.core.ledger.Placement;
 
@@ -26,6 +29,11 @@
     public final BitSet pending = new BitSet();
     /** Tasks that may be somewhere. */
     public final Int2ObjectOpenHashMap<Placement> live = new Int2ObjectOpenHashMap<>();
+    private final Object2IntOpenHashMap<String> inZone = new Object2IntOpenHashMap<>();
+    /** Tasks that were last reported as running or saving. */
+    public int running;
+    /** Attempts that ended with done and whose progress isn't durable yet. */
+    public final List<Placement> uncommitted = new ArrayList<>();
     public final Int2LongOpenHashMap notBefore = new Int2LongOpenHashMap();
     public int failures;
     /** Machines on which its tasks failed since one last succeeded; more than one speaks against the job. */
@@ -47,28 +55,34 @@
         pending.set(0, spec.tasks());
     }
 
-    public boolean second() {
-        return spec.service() || moved;
+    /** It starts now, or was found, on that machine. */
+    public void placed(Placement p) {
+        live.put(p.index, p);
+        pending.clear(p.index);
+        inZone.addTo(p.machine.zone, 1);
     }
 
-    public int running() {
-        int n = 0;
-        for (Placement p : live.values()) {
-            if (p.state == Placement.State.RUNNING || p.state == Placement.State.SAVING) {
-                n++;
-            }
+    /** That attempt can't be anywhere any more; whether the task waits again is up to the caller. */
+    public boolean unplaced(Placement p) {
+        if (live.get(p.index) != p) {
+            return false;
         }
-        return n;
+        live.remove(p.index);
+        inZone.addTo(p.machine.zone, -1);
+        return true;
+    }
+
+    public boolean second() {
+        return spec.service() || moved;
     }
 
     public int inZone(String zone) {
-        int n = 0;
-        for (Placement p : live.values()) {
-            if (p.machine.zone.equals(zone)) {
-                n++;
-            }
-        }
-        return n;
+        return inZone.getInt(zone);
+    }
+
+    /** Something of it waits to be started. */
+    public boolean waits() {
+        return status == Status.LIVE && !pending.isEmpty();
     }
 
     public boolean finished() {
--- /dev/null
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -0,0 +1,189 @@
+package org.hollypick.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.hollypick.config.Constants;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.placement.Placer;
+
+/** Which job goes where next: the two Tyrex partitions, their order and their lending. */
+final class Planner {
+    /** Exception to the design (docs/design.md, "rank before arrival"): arrival order holds among jobs of one rank. */
+    private static final Comparator<Job> ORDER = Comparator.<Job, JobSpec.Rank>comparing(j -> j.spec.rank())
+            .thenComparing((a, b) -> Long.compareUnsigned(a.order, b.order));
+
+    private final Scheduler scheduler;
+    private final double firstShare;
+    /** Jobs that wait, by partition, as of the last pass; a job that began to wait since then asks for another pass. */
+    private List<Job> firstJobs = List.of();
+    private List<Job> secondJobs = List.of();
+    /** Machines of the first partition that hold nothing. */
+    private int idleFirst;
+
+    Planner(Scheduler scheduler, double firstShare) {
+        this.scheduler = scheduler;
+        this.firstShare = firstShare;
+    }
+
+    /** Everything that waits, over all machines. */
+    void pass(long now) {
+        partition();
+        firstJobs = new ArrayList<>();
+        secondJobs = new ArrayList<>();
+        boolean settled = scheduler.settled();
+        for (Job job : scheduler.jobs.values()) {
+            if (job.waits() && (settled || job.under == scheduler.baton)) {
+                (job.second() ? secondJobs : firstJobs).add(job);
+            }
+        }
+        if (firstJobs.isEmpty() && secondJobs.isEmpty()) {
+            return;
+        }
+        firstJobs.sort(ORDER);
+        secondJobs.sort(ORDER);
+        countIdleFirst();
+        List<Machine> firstMachines = new ArrayList<>();
+        List<Machine> secondMachines = new ArrayList<>();
+        List<Machine> usable = new ArrayList<>();
+        for (Machine m : scheduler.machines.values()) {
+            if (Placer.takesTasks(m, now)) {
+                usable.add(m);
+                if (m.usedCpus < m.type.cpus()) {
+                    (m.first ? firstMachines : secondMachines).add(m);
+                }
+            }
+        }
+        for (Job job : secondJobs) {
+            if (job.spec.service()) {
+                placeService(job, usable, now);
+            } else {
+                place(job, secondMachines, firstMachines, true, now);
+            }
+        }
+        for (Job job : firstJobs) {
+            place(job, firstMachines, secondMachines, false, now);
+        }
+    }
+
+    /** The same for a single machine on which room came free: services, its own partition's jobs, then those it lends to. */
+    void fill(Machine m, long now) {
+        if (!Placer.takesTasks(m, now) || firstJobs.isEmpty() && secondJobs.isEmpty()) {
+            return;
+        }
+        List<Machine> one = List.of(m);
+        for (Job job : secondJobs) {
+            if (job.waits() && job.spec.service()) {
+                placeService(job, one, now);
+            }
+        }
+        if (m.first) {
+            countIdleFirst();
+            firstJobs.forEach(job -> place(job, one, List.of(), false, now));
+            secondJobs.forEach(job -> place(job, List.of(), one, true, now));
+        } else {
+            secondJobs.forEach(job -> place(job, one, List.of(), true, now));
+            firstJobs.forEach(job -> place(job, List.of(), one, false, now));
+        }
+    }
+
+    /**
+     * Exception to the design (docs/design.md, "production first"): services go where their image is, and stop lower work
+     * anywhere.
+     */
+    private void placeService(Job job, List<Machine> machines, long now) {
+        for (int i = next(job, 0, now); i >= 0; i = next(job, i + 1, now)) {
+            Placer.Choice choice = Placer.preempt(job, machines, now);
+            if (choice == null) {
+                return;
+            }
+            choice.victims().forEach(v -> scheduler.stop(v, 0));
+            scheduler.start(job, i, choice.machine(), now);
+        }
+    }
+
+    private void place(Job job, List<Machine> own, List<Machine> others, boolean keepOneFree, long now) {
+        if (job.spec.service()) {
+            return;
+        }
+        int i = next(job, 0, now);
+        while (i >= 0) {
+            Machine m = Placer.choose(job, own, now);
+            if (m == null) {
+                m = Placer.choose(job, keepOneFree ? lendable(others) : others, now);
+            }
+            if (m == null) {
+                return;
+            }
+            // Each task makes the machine a better choice for the next one, until it is full: the image is there or on its
+            // way, and arrays are packed.
+            idleFirst -= m.first && m.idle() ? 1 : 0;
+            do {
+                scheduler.start(job, i, m, now);
+                i = next(job, i + 1, now);
+            } while (i >= 0 && m.hasRoom(job.spec) && Placer.allowed(job, m));
+        }
+    }
+
+    /** The next task that may start now, or -1. */
+    private int next(Job job, int from, long now) {
+        if (!job.waits() || !scheduler.withinLimit(job.spec)) {
+            return -1;
+        }
+        int i = job.pending.nextSetBit(from);
+        while (i >= 0 && job.notBefore.get(i) > now) {
+            i = job.pending.nextSetBit(i + 1);
+        }
+        return i;
+    }
+
+    /** The first partition lends what is beyond one machine kept free. */
+    private List<Machine> lendable(List<Machine> some) {
+        List<Machine> list = new ArrayList<>();
+        for (Machine m : some) {
+            if (idleFirst - (m.idle() ? 1 : 0) >= Constants.FIRST_KEEPS_FREE) {
+                list.add(m);
+            }
+        }
+        return list;
+    }
+
+    private void countIdleFirst() {
+        idleFirst = 0;
+        for (Machine m : scheduler.machines.values()) {
+            idleFirst += m.first && m.usable() && m.idle() ? 1 : 0;
+        }
+    }
+
+    /** Keeps 30 % of the machines in the first partition: spot ones first, since services can't use them. */
+    private void partition() {
+        Collection<Machine> all = scheduler.machines.values();
+        int have = 0;
+        int usable = 0;
+        for (Machine m : all) {
+            if (m.usable()) {
+                usable++;
+                have += m.first ? 1 : 0;
+            } else {
+                m.first = false;
+            }
+        }
+        int want = (int) Math.round(usable * firstShare);
+        if (have == want) {
+            return;
+        }
+        boolean join = have < want;
+        List<Machine> candidates = new ArrayList<>();
+        for (Machine m : all) {
+            if (m.usable() && m.first != join) {
+                candidates.add(m);
+            }
+        }
+        Comparator<Machine> order = Comparator.comparing((Machine m) -> m.spot == join ? 0 : 1).thenComparing(m -> m.id);
+        candidates.sort(order);
+        for (Machine m : candidates.subList(0, Math.min(candidates.size(), Math.abs(want - have)))) {
+            m.first = join;
+        }
+    }
+}
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -1,10 +1,9 @@
 package org.hollypick.core;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,7 +17,6 @@
 import org.hollypick.core.ledger.Placement.State;
 import org.hollypick.core.ledger.Report;
 import org.hollypick.core.ledger.TaskReport;
-import org.hollypick.core.placement.Placer;
 import org.hollypick.core.tyrex.Tyrex;
 
 /**
@@ -28,8 +26,10 @@
 public final class Scheduler {
     public final long baton;
     private final Settings settings;
-    private final double firstShare;
     private final long termStart;
+    private final Planner planner;
+    private final TeamUse teamUse = new TeamUse();
+    private boolean settled;
     private long attempts;
     private long lastNow;
     private double arrivedWork;
@@ -43,15 +43,22 @@
 
     // effects, drained by the loops
     public final Set<Machine> ordersDirty = new LinkedHashSet<>();
+    /** The same for machines whose orders concern services. */
+    public final Set<Machine> ordersUrgent = new LinkedHashSet<>();
+    /** Machines on which room came free since this was last emptied. */
+    public final Set<Machine> freed = new LinkedHashSet<>();
     public final Set<Job> progressDirty = new LinkedHashSet<>();
-    public final Set<String> recordsToDrop = new LinkedHashSet<>();
+    /** Machines that came up and aren't registered yet. */
+    public final Set<Machine> toRegister = new LinkedHashSet<>();
+    /** Machines that are gone; their durable records have to follow. */
+    public final Set<String> toForget = new LinkedHashSet<>();
     public boolean passWanted;
 
     public Scheduler(long baton, Settings settings, double firstShare, long now) {
         this.baton = baton;
         this.settings = settings;
-        this.firstShare = firstShare;
         this.termStart = now;
+        this.planner = new Planner(this, firstShare);
     }
 
     /** How long after its last answered report a worker may still run its tasks. */
@@ -108,12 +115,11 @@
 
     /** Everything in {@code job.committed} is durable; its exited attempts may be cleared. */
     public void progressCommitted(Job job) {
-        for (Machine m : machines.values()) {
-            for (Placement p : m.placements.values()) {
-                if (p.job == job && p.state == State.EXITED && !p.clearable && job.committed.get(p.index)) {
-                    p.clearable = true;
-                    ordersDirty.add(m);
-                }
+        for (Iterator<Placement> i = job.uncommitted.iterator(); i.hasNext();) {
+            Placement p = i.next();
+            if (job.committed.get(p.index)) {
+                p.clearable = true; // the order goes with the answer to the machine's next report
+                i.remove();
             }
         }
     }
@@ -126,6 +132,7 @@
         // A machine without a durable record can't have been given a task by an earlier owner.
         m.heard = !registered;
         machines.put(id, m);
+        settled &= m.heard;
         return m;
     }
 
@@ -136,8 +143,11 @@
         if (m != null) {
             loseAll(m);
             ordersDirty.remove(m);
+            ordersUrgent.remove(m);
+            toRegister.remove(m);
+            freed.remove(m);
         }
-        recordsToDrop.add(id);
+        toForget.add(id);
         passWanted = true;
     }
 
@@ -150,28 +160,28 @@
 
     /** Nothing of it can be on its machine any more. */
     private void remove(Placement p) {
-        p.machine.placements.remove(Machine.key(p.taskId(), p.attempt));
+        p.machine.placements.remove(p.attempt);
         p.machine.release(p);
-        boolean was = p.there();
-        p.state = State.EXITED;
-        if (was) {
+        p.job.uncommitted.remove(p);
+        if (p.there()) {
+            p.become(State.EXITED);
             freeTask(p);
         }
-        passWanted = true;
     }
 
     private void freeTask(Placement p) {
         Job job = p.job;
-        if (job.live.get(p.index) == p) {
-            job.live.remove(p.index);
+        if (job.unplaced(p)) {
+            teamUse.add(job.spec, -1);
             if (job.status == Job.Status.LIVE && !job.done.get(p.index)) {
                 job.pending.set(p.index);
+                passWanted = true;
             }
         }
         if (p.machine.idle()) {
             p.machine.idleSince = Math.max(p.machine.idleSince, lastNow);
         }
-        passWanted = true;
+        freed.add(p.machine);
     }
 
     /** Leases that ran out, and machines from earlier terms that can't hold anything any more. */
@@ -196,14 +206,18 @@
         }
     }
 
-    /** Whether machines of an earlier term may still hold tasks of older jobs. */
+    /** Whether no machine of an earlier term can still hold tasks that this one doesn't know of. Once so, it stays so. */
     public boolean settled() {
-        for (Machine m : machines.values()) {
-            if (!m.heard) {
-                return false;
-            }
+        if (!settled) {
+            settled = machines.values().stream().allMatch(m -> m.heard);
         }
-        return true;
+        return settled;
+    }
+
+    /** It is durable that the machine may hold tasks: from now on it may. */
+    public void registered(Machine m) {
+        m.registered = true;
+        freed.add(m);
     }
 
     // ---- reports ----
@@ -226,6 +240,9 @@
         if (!m.up) {
             m.up = true;
             m.idleSince = now;
+            if (!m.registered) {
+                toRegister.add(m);
+            }
         }
         m.tenure = r.tenure();
         m.tick = r.tick();
@@ -237,23 +254,19 @@
             // A worker has one report in flight: the answer to the one before was taken or dropped by now.
             m.placements.values().forEach(p -> p.viaHello = false);
         }
-        Set<String> listed = new HashSet<>();
+        m.beginReport();
         for (TaskReport t : r.tasks()) {
-            String key = Machine.key(t.task(), t.attempt());
-            listed.add(key);
-            Placement p = m.placements.get(key);
+            Placement p = m.at(t.task(), t.attempt());
             if (p == null) {
                 p = adopt(m, t, now);
             }
             if (p != null) {
+                m.listed(p);
                 update(p, t, now);
             }
         }
-        for (Placement p : new ArrayList<>(m.placements.values())) {
-            if (listed.contains(Machine.key(p.taskId(), p.attempt))) {
-                continue;
-            }
-            if (p.state != State.SENT || p.stop && !p.launchMayFollow()) {
+        for (Placement p : m.unlisted()) {
+            if (p.state() != State.SENT || p.stop && !p.launchMayFollow()) {
                 remove(p);
             }
         }
@@ -295,7 +308,7 @@
         } catch (NumberFormatException e) {
             return null;
         }
-        if (index < 0 || index >= job.spec.tasks() || job.done.get(index)) {
+        if (index < 0 || index >= job.spec.tasks() || job.done.get(index) || m.placements.containsKey(t.attempt())) {
             return null;
         }
         if (t.state() == State.EXITED ? !"done".equals(t.why()) || job.spec.service() : job.live.containsKey(index)) {
@@ -304,23 +317,23 @@
         Placement p = new Placement(job, index, t.attempt(), m, now);
         m.add(p);
         if (t.state() != State.EXITED) {
-            job.live.put(index, p);
-            job.pending.clear(index);
+            job.placed(p);
+            teamUse.add(job.spec, 1);
         }
         return p;
     }
 
     private void update(Placement p, TaskReport t, long now) {
-        if (p.state == State.EXITED) {
+        if (!p.there()) {
             return;
         }
-        if (t.state() == State.RUNNING && p.state != State.RUNNING) {
+        if (t.state() == State.RUNNING && p.state() != State.RUNNING) {
             p.runningAt = now;
         }
         if (t.state() == State.RUNNING || t.state() == State.SAVING) {
             p.machine.images.put(p.job.spec.image(), now);
         }
-        p.state = t.state();
+        p.become(t.state());
         if (t.state() == State.EXITED) {
             exited(p, t.why(), now);
         }
@@ -341,6 +354,8 @@
             }
             if (job.committed.get(p.index)) {
                 p.clearable = true;
+            } else {
+                job.uncommitted.add(p);
             }
             if (first) {
                 progressDirty.add(job);
@@ -398,14 +413,15 @@
         }
     }
 
-    private void stop(Placement p, double graceS) {
+    public void stop(Placement p, double graceS) {
         if (!p.stop || graceS < p.graceS) {
             p.stop = true;
             p.graceS = graceS;
             if (graceS == 0) {
                 p.machine.release(p);
+                freed.add(p.machine);
             }
-            ordersDirty.add(p.machine);
+            wantOrders(p);
         }
     }
 
@@ -416,7 +432,7 @@
         List<Order> orders = new ArrayList<>();
         List<Order> clears = new ArrayList<>();
         for (TaskReport t : m.reported) {
-            Placement p = m.placements.get(Machine.key(t.task(), t.attempt()));
+            Placement p = m.at(t.task(), t.attempt());
             if (t.state() == State.EXITED) {
                 if (p == null || p.clearable && !p.launchMayFollow()) {
                     clears.add(new Order(Order.Verb.FORGET, t.task(), t.attempt(), 0));
@@ -431,8 +447,8 @@
         orders.addAll(clears);
         if (m.registered) {
             for (Placement p : m.placements.values()) {
-                if (p.state == State.SENT && !p.stop) {
-                    orders.add(new Order(Order.Verb.START, p.taskId(), p.attempt, 0));
+                if (p.state() == State.SENT && !p.stop) {
+                    orders.add(new Order(Order.Verb.START, p.taskId, p.attempt, 0));
                 }
             }
         }
@@ -442,7 +458,7 @@
     /** The orders go out as the answer to a report. */
     public void sentInAnswer(Machine m, List<Order> orders) {
         for (Order o : orders) {
-            Placement p = m.placements.get(Machine.key(o.task(), o.attempt()));
+            Placement p = m.at(o.task(), o.attempt());
             if (o.verb() == Order.Verb.START && p != null) {
                 p.viaHello = true;
             }
@@ -452,7 +468,7 @@
     public void sentDirect(Machine m, List<Order> orders) {
         m.directBusy = true;
         for (Order o : orders) {
-            Placement p = m.placements.get(Machine.key(o.task(), o.attempt()));
+            Placement p = m.at(o.task(), o.attempt());
             if (o.verb() == Order.Verb.START && p != null) {
                 p.directInFlight = true;
             }
@@ -463,7 +479,7 @@
     public void directEnded(Machine m, List<Order> orders, long tenure, boolean settled) {
         m.directBusy = false;
         for (Order o : orders) {
-            Placement p = m.placements.get(Machine.key(o.task(), o.attempt()));
+            Placement p = m.at(o.task(), o.attempt());
             if (o.verb() == Order.Verb.START && p != null) {
                 p.directInFlight = false;
                 if (!settled && m.tenure == tenure) {
@@ -475,93 +491,34 @@
 
     // ---- placing ----
 
-    /** One pass over what waits, by the order that the design gives. */
+    /** One pass over everything that waits. */
     public void pass(long now) {
         lastNow = now;
         passWanted = false;
-        partition();
-        boolean settled = settled();
-        List<Job> first = new ArrayList<>();
-        List<Job> second = new ArrayList<>();
-        for (Job job : jobs.values()) {
-            if (job.status == Job.Status.LIVE && !job.pending.isEmpty() && (settled || job.under == baton)) {
-                (job.second() ? second : first).add(job);
-            }
-        }
-        // Exception to the design (docs/design.md, "rank before arrival"): arrival order holds among jobs of one rank.
-        Comparator<Job> order = Comparator.<Job, JobSpec.Rank>comparing(j -> j.spec.rank()).thenComparing((a, b) -> Long.compareUnsigned(a.order, b.order));
-        first.sort(order);
-        second.sort(order);
-        List<Machine> firstMachines = new ArrayList<>();
-        List<Machine> secondMachines = new ArrayList<>();
-        for (Machine m : machines.values()) {
-            (m.first ? firstMachines : secondMachines).add(m);
-        }
-        for (Job job : second) {
-            place(job, secondMachines, firstMachines, true, now);
-        }
-        for (Job job : first) {
-            place(job, firstMachines, secondMachines, false, now);
-        }
-    }
-
-    private void place(Job job, List<Machine> own, List<Machine> others, boolean keepOneFree, long now) {
-        for (int i = job.pending.nextSetBit(0); i >= 0; i = job.pending.nextSetBit(i + 1)) {
-            if (job.notBefore.get(i) > now) {
-                continue;
-            }
-            if (!withinLimit(job.spec)) {
-                return;
-            }
-            Machine m;
-            if (job.spec.service()) {
-                // Exception to the design (docs/design.md, "production first"): services go where their image is, and stop
-                // lower work anywhere.
-                Placer.Choice choice = Placer.preempt(job, machines.values(), now);
-                if (choice != null) {
-                    choice.victims().forEach(v -> stop(v, 0));
-                }
-                m = choice == null ? null : choice.machine();
-            } else {
-                m = Placer.choose(job, own, now);
-                if (m == null) {
-                    m = Placer.choose(job, keepOneFree ? lendable(others) : others, now);
-                }
-            }
-            if (m == null) {
-                return;
-            }
-            start(job, i, m, now);
-        }
+        planner.pass(now);
     }
 
-    /** The first partition lends what is beyond one machine kept free. */
-    private static List<Machine> lendable(List<Machine> first) {
-        int idle = 0;
-        for (Machine m : first) {
-            if (m.usable() && m.idle()) {
-                idle++;
-            }
-        }
-        List<Machine> list = new ArrayList<>();
-        for (Machine m : first) {
-            if (idle - (m.idle() ? 1 : 0) >= Constants.FIRST_KEEPS_FREE) {
-                list.add(m);
-            }
-        }
-        return list;
+    /** What waits is looked through for this one machine, where room may have come free. */
+    public void fill(Machine m, long now) {
+        lastNow = now;
+        planner.fill(m, now);
     }
 
-    private void start(Job job, int index, Machine m, long now) {
+    public void start(Job job, int index, Machine m, long now) {
         if (attempts >= 1L << Constants.ATTEMPT_BITS) {
             throw new IllegalStateException("out of attempt numbers under this baton");
         }
         long attempt = (baton << Constants.ATTEMPT_BITS) + attempts++;
         Placement p = new Placement(job, index, attempt, m, now);
         m.add(p);
-        job.live.put(index, p);
-        job.pending.clear(index);
-        ordersDirty.add(m);
+        job.placed(p);
+        teamUse.add(job.spec, 1);
+        wantOrders(p);
+    }
+
+    /** Orders for services go out first. */
+    private void wantOrders(Placement p) {
+        (p.job.spec.service() ? ordersUrgent : ordersDirty).add(p.machine);
     }
 
     /**
@@ -574,7 +531,7 @@
         }
         for (Machine m : machines.values()) {
             for (Placement p : m.placements.values()) {
-                if (p.job.status == Job.Status.ABORTED && p.state == State.SENT && p.directDoubt && now - p.job.abortedAt > Constants.FENCE_MS) {
+                if (p.job.status == Job.Status.ABORTED && p.state() == State.SENT && p.directDoubt && now - p.job.abortedAt > Constants.FENCE_MS) {
                     return true;
                 }
             }
@@ -582,55 +539,10 @@
         return false;
     }
 
-    /** Counts every task of the team that may be anywhere. */
-    private boolean withinLimit(JobSpec spec) {
+    /** Whether one more task keeps its team's limit. Machines of earlier terms may hold tasks nobody here has counted. */
+    public boolean withinLimit(JobSpec spec) {
         Settings.Team team = settings.teams().get(spec.team());
-        if (team == null || team.cpusMax() <= 0 && team.gpusMax() <= 0) {
-            return true;
-        }
-        double cpus = spec.cpus();
-        double gpus = spec.gpus();
-        for (Machine m : machines.values()) {
-            for (Placement p : m.placements.values()) {
-                if (p.there() && p.job.spec.team().equals(spec.team())) {
-                    cpus += p.job.spec.cpus();
-                    gpus += p.job.spec.gpus();
-                }
-            }
-        }
-        // Machines of earlier terms that haven't reported may hold tasks nobody here has counted.
-        return settled() && (team.cpusMax() <= 0 || cpus <= team.cpusMax() + 1e-6) && (team.gpusMax() <= 0 || gpus <= team.gpusMax() + 1e-6);
-    }
-
-    /** Keeps 30 % of the machines in the first partition: spot ones first, since services can't use them. */
-    private void partition() {
-        Collection<Machine> all = machines.values();
-        int have = 0;
-        int usable = 0;
-        for (Machine m : all) {
-            if (m.usable()) {
-                usable++;
-                have += m.first ? 1 : 0;
-            } else {
-                m.first = false;
-            }
-        }
-        int want = (int) Math.round(usable * firstShare);
-        if (have == want) {
-            return;
-        }
-        boolean join = have < want;
-        List<Machine> candidates = new ArrayList<>();
-        for (Machine m : all) {
-            if (m.usable() && m.first != join) {
-                candidates.add(m);
-            }
-        }
-        Comparator<Machine> order = Comparator.comparing((Machine m) -> m.spot == join ? 0 : 1).thenComparing(m -> m.id);
-        candidates.sort(order);
-        for (Machine m : candidates.subList(0, Math.min(candidates.size(), Math.abs(want - have)))) {
-            m.first = join;
-        }
+        return team == null || team.cpusMax() <= 0 && team.gpusMax() <= 0 || settled() && teamUse.allows(team, spec);
     }
 
     /** Partial sizes by job, for the controller's one value. */
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -1,11 +1,10 @@
 package org.hollypick.core.ledger;
 
+import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
@@ -20,7 +19,6 @@
 
     /** Durably recorded; before that nothing may be launched here. */
     public boolean registered;
-    public boolean registering;
     /** It has reported under the current baton, or nothing older can be on it. */
     public boolean heard;
     /** Its worker has reported at least once in this term. */
@@ -49,13 +47,19 @@
     public boolean directBusy;
     /** No direct call before this time; the last one was left unanswered. */
     public long directAfter;
-    public final Map<String, Placement> placements = new LinkedHashMap<>();
+    /** By attempt: those never repeat, whatever the task. */
+    public final Long2ObjectLinkedOpenHashMap<Placement> placements = new Long2ObjectLinkedOpenHashMap<>();
     public List<TaskReport> reported = List.of();
     public final Object2LongOpenHashMap<String> images = new Object2LongOpenHashMap<>();
     public final Set<String> failedJobs = new HashSet<>();
     public double usedCpus;
     public double usedGpus;
     public double usedMemory;
+    /** Running totals over what may be there: tasks, those still without image, cores of services. */
+    private int there;
+    private int starting;
+    private double serviceCpus;
+    private long reports;
 
     public Machine(String id, MachineType type, String zone, boolean spot, long now) {
         this.id = id;
@@ -66,16 +70,46 @@
         this.idleSince = now;
     }
 
-    public static String key(String task, long attempt) {
-        return task + "#" + Long.toUnsignedString(attempt);
-    }
-
     public void add(Placement p) {
-        placements.put(key(p.taskId(), p.attempt), p);
+        placements.put(p.attempt, p);
+        count(p, 1);
         p.usesRoom = true;
         use(p, 1);
     }
 
+    /** The placement that an order or a report names; null if there is none. */
+    public Placement at(String task, long attempt) {
+        Placement p = placements.get(attempt);
+        return p != null && p.taskId.equals(task) ? p : null;
+    }
+
+    void count(Placement p, int sign) {
+        if (p.there()) {
+            there += sign;
+            starting += p.starting() ? sign : 0;
+            serviceCpus += p.job.spec.service() ? sign * p.job.spec.cpus() : 0;
+        }
+    }
+
+    /** A new report begins: what it doesn't list is told by {@link #unlisted}. */
+    public void beginReport() {
+        reports++;
+    }
+
+    public void listed(Placement p) {
+        p.listedIn = reports;
+    }
+
+    public List<Placement> unlisted() {
+        List<Placement> list = new ArrayList<>();
+        for (Placement p : placements.values()) {
+            if (p.listedIn != reports) {
+                list.add(p);
+            }
+        }
+        return list;
+    }
+
     /** Its room may be used by others: it exited, or is killed at once by an order ahead of theirs. */
     public void release(Placement p) {
         if (p.usesRoom) {
@@ -101,12 +135,16 @@
     }
 
     public boolean idle() {
-        for (Placement p : placements.values()) {
-            if (p.there()) {
-                return false;
-            }
-        }
-        return true;
+        return there == 0;
+    }
+
+    /** Tasks that may be there but wait for their image. */
+    public int startingTasks() {
+        return starting;
+    }
+
+    public double serviceCpus() {
+        return serviceCpus;
     }
 
     public List<Placement> there() {
--- a/src/main/java/org/hollypick/core/ledger/Placement.java
+++ b/src/main/java/org/hollypick/core/ledger/Placement.java
@@ -10,7 +10,8 @@
     public final int index;
     public final long attempt;
     public final Machine machine;
-    public State state = State.SENT;
+    public final String taskId;
+    private State state = State.SENT;
     /** Wanted gone: a kill goes out until the worker reports it exited. */
     public boolean stop;
     public double graceS;
@@ -22,6 +23,8 @@
     public boolean directInFlight;
     /** The answer to the machine's latest report carried the launch. */
     public boolean viaHello;
+    /** The report that listed it last, by the machine's own count. */
+    long listedIn;
     /** Its room on the machine is still taken. */
     boolean usesRoom;
     public final long startedAt;
@@ -32,20 +35,43 @@
         this.index = index;
         this.attempt = attempt;
         this.machine = machine;
+        this.taskId = job.spec.id() + "/" + index;
         this.startedAt = now;
     }
 
+    public State state() {
+        return state;
+    }
+
+    /** Keeps the running totals of its machine and its job in step. */
+    public void become(State next) {
+        if (state == next) {
+            return;
+        }
+        machine.count(this, -1);
+        job.running -= onMachine() ? 1 : 0;
+        state = next;
+        machine.count(this, 1);
+        job.running += onMachine() ? 1 : 0;
+    }
+
     /** Whether the task may be on the machine. */
     public boolean there() {
         return state != State.EXITED;
     }
 
+    /** Whether it has its image, as last reported. */
+    private boolean onMachine() {
+        return state == State.RUNNING || state == State.SAVING;
+    }
+
+    /** Sent or fetching: it still waits for its image. */
+    public boolean starting() {
+        return state == State.SENT || state == State.FETCHING;
+    }
+
     /** Whether a copy of the launch may still be executed: clearing the attempt now could start it once more. */
     public boolean launchMayFollow() {
         return directDoubt || directInFlight || viaHello;
     }
-
-    public String taskId() {
-        return job.spec.id() + "/" + index;
-    }
 }
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -1,5 +1,6 @@
 package org.hollypick.core.placement;
 
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -29,13 +30,23 @@
         return !s.oneZone() || job.inZone(m.zone) == job.live.size();
     }
 
+    /** Whether the machine gets new tasks at all now. */
+    public static boolean takesTasks(Machine m, long now) {
+        return m.usable() && now >= m.noRoomUntil;
+    }
+
+    private static boolean possible(Job job, Machine m, long now) {
+        return takesTasks(m, now) && !m.failedJobs.contains(job.spec.id()) && allowed(job, m);
+    }
+
     /** The best machine with room, or null. */
     public static Machine choose(Job job, Collection<Machine> machines, long now) {
         Machine best = null;
         double bestScore = 0;
+        Object2IntOpenHashMap<Machine> replicas = replicas(job);
         for (Machine m : machines) {
-            if (m.usable() && now >= m.noRoomUntil && !m.failedJobs.contains(job.spec.id()) && m.hasRoom(job.spec) && allowed(job, m)) {
-                double score = score(job, m);
+            if (m.hasRoom(job.spec) && possible(job, m, now)) {
+                double score = score(job, m, replicas.getInt(m));
                 if (best == null || score > bestScore) {
                     best = m;
                     bestScore = score;
@@ -45,73 +56,78 @@
         return best;
     }
 
+    /** How many replicas of a service may be on each machine; of arrays nobody asks. */
+    private static Object2IntOpenHashMap<Machine> replicas(Job job) {
+        Object2IntOpenHashMap<Machine> on = new Object2IntOpenHashMap<>();
+        if (job.spec.service()) {
+            job.live.values().forEach(p -> on.addTo(p.machine, 1));
+        }
+        return on;
+    }
+
     /** Higher is better: the image's fetch time first, then the right kind, spread of services, tight packing of arrays. */
-    static double score(Job job, Machine m) {
+    private static double score(Job job, Machine m, int replicas) {
         JobSpec s = job.spec;
         double fetch = m.images.containsKey(s.image()) ? 0 : s.imageGb() / m.type.fetchGbPerS() * (fetching(m, s.image()) ? 0.6 : 1 + 0.5 * fetches(m));
-        double score = -fetch;
         if (s.service()) {
             // Replicas apart, and services even over machines by their number, not by their share of a larger machine:
             // what is lost with one machine counts.
-            for (Placement p : m.placements.values()) {
-                if (p.there() && p.job.spec.service()) {
-                    score -= p.job == job ? Constants.REPLICA_APART : p.job.spec.cpus() * Constants.SERVICE_SPREAD;
-                }
-            }
-        } else {
-            score += 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0);
+            return -fetch - replicas * Constants.REPLICA_APART - (m.serviceCpus() - replicas * s.cpus()) * Constants.SERVICE_SPREAD;
         }
-        return score;
+        return -fetch + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0);
     }
 
     private static boolean fetching(Machine m, String image) {
-        for (Placement p : m.placements.values()) {
-            if (p.there() && p.state != Placement.State.RUNNING && p.job.spec.image().equals(image)) {
-                return true;
+        if (m.startingTasks() > 0) {
+            for (Placement p : m.placements.values()) {
+                if (p.starting() && p.job.spec.image().equals(image)) {
+                    return true;
+                }
             }
         }
         return false;
     }
 
     private static int fetches(Machine m) {
-        int n = 0;
-        for (Placement p : m.placements.values()) {
-            if (p.state == Placement.State.FETCHING || p.state == Placement.State.SENT) {
-                n++;
-            }
-        }
-        return Math.min(n, 4);
+        return Math.min(m.startingTasks(), 4);
     }
 
     /** The best machine that has room or gets it by stopping work of lower priority, weighing what is lost; null if there is none. */
     public static Choice preempt(Job job, Collection<Machine> machines, long now) {
-        Choice best = null;
+        Machine best = null;
+        List<Placement> bestVictims = List.of();
         double bestScore = 0;
+        Object2IntOpenHashMap<Machine> replicas = replicas(job);
         for (Machine m : machines) {
-            if (!m.usable() || now < m.noRoomUntil || m.failedJobs.contains(job.spec.id()) || !allowed(job, m)) {
+            if (!possible(job, m, now)) {
                 continue;
             }
-            List<Placement> victims = victims(job.spec, m, now);
+            double score = score(job, m, replicas.getInt(m));
+            if (best != null && score <= bestScore) {
+                continue; // what is lost only makes it worse
+            }
+            List<Placement> victims = m.hasRoom(job.spec) ? List.of() : victims(job.spec, m, now);
             if (victims == null) {
                 continue;
             }
             double lost = 0;
             for (Placement p : victims) {
-                lost += p.state == Placement.State.RUNNING ? (now - p.runningAt) / 1000.0 * p.job.spec.cpus() : 0;
+                lost += p.state() == Placement.State.RUNNING ? (now - p.runningAt) / 1000.0 * p.job.spec.cpus() : 0;
             }
-            double score = score(job, m) - lost / Constants.LOST_PER_FETCH_S;
+            score -= lost / Constants.LOST_PER_FETCH_S;
             if (best == null || score > bestScore) {
-                best = new Choice(m, victims);
+                best = m;
+                bestVictims = victims;
                 bestScore = score;
             }
         }
-        return best;
+        return best == null ? null : new Choice(best, bestVictims);
     }
 
     private static List<Placement> victims(JobSpec job, Machine m, long now) {
         List<Placement> lower = new ArrayList<>();
         for (Placement p : m.placements.values()) {
-            if (p.there() && !p.stop && !(p.state == Placement.State.SENT && p.launchMayFollow()) && p.job.spec.rank().compareTo(job.rank()) > 0) {
+            if (p.there() && !p.stop && !(p.state() == Placement.State.SENT && p.launchMayFollow()) && p.job.spec.rank().compareTo(job.rank()) > 0) {
                 lower.add(p);
             }
         }
--- a/src/main/java/org/hollypick/io/Codec.java
+++ b/src/main/java/org/hollypick/io/Codec.java
@@ -1,6 +1,7 @@
 package org.hollypick.io;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -46,6 +47,10 @@
         }
     }
 
+    public static JsonParser cborParser(byte[] bytes) throws IOException {
+        return CBOR.createParser(bytes);
+    }
+
     /** An unsigned 64-bit number; compare with {@link Long#compareUnsigned}. */
     public static long u64(JsonNode node) {
         return node.isBigInteger() ? node.bigIntegerValue().longValue() : node.asLong();
--- a/src/main/java/org/hollypick/io/Network.java
+++ b/src/main/java/org/hollypick/io/Network.java
@@ -16,6 +16,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -38,10 +39,15 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final Map<String, Pool> pools = new HashMap<>();
+    private final int idleMax;
+    /** All connections that wait for their next use, the one unused for longest first. */
+    private final Map<ClientConnection, Pool> idle = new LinkedHashMap<>();
 
-    public Network(XnioIoThread thread, ByteBufferPool buffers) {
+    /** {@code idleMax}: connections kept open for later use, to all addresses together. */
+    public Network(XnioIoThread thread, ByteBufferPool buffers, int idleMax) {
         this.thread = thread;
         this.buffers = buffers;
+        this.idleMax = idleMax;
     }
 
     @Override
@@ -69,14 +75,19 @@
     public void call(Call call, Consumer<Reply> reply) {
         // Long watches have connections of their own, so that nothing waits behind them.
         String key = call.path().startsWith("/watch") ? call.address() + "#watch" : call.address();
-        pools.computeIfAbsent(key, k -> new Pool()).submit(new Exchange(call, reply));
+        pools.computeIfAbsent(key, Pool::new).submit(new Exchange(call, reply));
     }
 
     private final class Pool {
-        private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+        private final String key;
+        private final ArrayDeque<ClientConnection> free = new ArrayDeque<>();
         private final ArrayDeque<Exchange> waiting = new ArrayDeque<>();
         private int busy;
 
+        Pool(String key) {
+            this.key = key;
+        }
+
         void submit(Exchange x) {
             x.pool = this;
             x.timer = thread.executeAfter(guarded(x::expire), x.call.timeoutMs(), TimeUnit.MILLISECONDS);
@@ -95,7 +106,8 @@
             busy++;
             x.running = true;
             ClientConnection c;
-            while ((c = idle.pollLast()) != null) {
+            while ((c = free.pollLast()) != null) {
+                idle.remove(c);
                 if (c.isOpen()) {
                     x.send(c);
                     return;
@@ -108,7 +120,9 @@
         void release(ClientConnection reusable) {
             busy--;
             if (reusable != null && reusable.isOpen()) {
-                idle.add(reusable);
+                free.add(reusable);
+                idle.put(reusable, this);
+                dropEldest();
             }
             Exchange next;
             while (busy < Constants.CONNECTIONS_PER_ADDRESS && (next = waiting.poll()) != null) {
@@ -116,6 +130,26 @@
                     run(next);
                 }
             }
+            forgetIfUnused();
+        }
+
+        /** Machines come and go; their addresses must not pile up. */
+        void forgetIfUnused() {
+            if (busy == 0 && free.isEmpty() && waiting.isEmpty()) {
+                pools.remove(key, this);
+            }
+        }
+    }
+
+    private void dropEldest() {
+        while (idle.size() > idleMax) {
+            Map.Entry<ClientConnection, Pool> eldest = idle.entrySet().iterator().next();
+            ClientConnection c = eldest.getKey();
+            Pool pool = eldest.getValue();
+            idle.remove(c);
+            pool.free.remove(c);
+            IoUtils.safeClose(c);
+            pool.forgetIfUnused();
         }
     }
 
--- a/src/main/java/org/hollypick/worker/WorkerCodec.java
+++ b/src/main/java/org/hollypick/worker/WorkerCodec.java
@@ -1,8 +1,11 @@
 package org.hollypick.worker;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.hollypick.core.ledger.Order;
@@ -15,19 +18,111 @@
 public final class WorkerCodec {
     private WorkerCodec() {}
 
-    /** The report, or null if it isn't one. */
+    /** The report in a request's body, or null if it isn't one. Read as a stream: reports are most of what a busy owner reads. */
+    public static Report report(byte[] cbor) {
+        try (JsonParser p = Codec.cborParser(cbor)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                return null;
+            }
+            Fields f = new Fields();
+            while (p.nextToken() == JsonToken.FIELD_NAME) {
+                String name = p.currentName();
+                JsonToken value = p.nextToken();
+                switch (name) {
+                    case "bothy" -> f.machine = text(p, value);
+                    case "addr" -> f.addr = text(p, value);
+                    case "flavour" -> f.type = text(p, value);
+                    case "hall" -> f.zone = text(p, value);
+                    case "lendable" -> f.spot = value == JsonToken.VALUE_TRUE;
+                    case "tenure" -> {
+                        f.hasTenure = value == JsonToken.VALUE_NUMBER_INT;
+                        f.tenure = u64(p, value);
+                    }
+                    case "tick" -> {
+                        f.hasTick = value == JsonToken.VALUE_NUMBER_INT;
+                        f.tick = u64(p, value);
+                    }
+                    case "baton" -> f.baton = u64(p, value);
+                    case "warning_s" -> f.noticeS = value.isNumeric() ? p.getDoubleValue() : Double.NaN;
+                    case "shards" -> tasks(p, value, f.tasks);
+                    default -> p.skipChildren();
+                }
+            }
+            return f.machine.isEmpty() || !f.hasTenure || !f.hasTick ? null
+                    : new Report(f.machine, f.addr, f.type, f.zone, f.spot, f.tenure, f.tick, f.baton, f.noticeS, f.tasks);
+        } catch (IOException | RuntimeException e) {
+            return null; // garbage from outside must never harm the node
+        }
+    }
+
+    /** What has been read of a report so far. */
+    private static final class Fields {
+        private String machine = "";
+        private String addr = "";
+        private String type = "";
+        private String zone = "";
+        private boolean spot;
+        private boolean hasTenure;
+        private boolean hasTick;
+        private long tenure;
+        private long tick;
+        private long baton;
+        private double noticeS = Double.NaN;
+        private final List<TaskReport> tasks = new ArrayList<>();
+    }
+
+    private static void tasks(JsonParser p, JsonToken list, List<TaskReport> tasks) throws IOException {
+        if (list != JsonToken.START_ARRAY) {
+            p.skipChildren();
+            return;
+        }
+        while (p.nextToken() == JsonToken.START_OBJECT) {
+            String task = "";
+            long attempt = 0;
+            State state = State.RUNNING;
+            String why = "";
+            while (p.nextToken() == JsonToken.FIELD_NAME) {
+                String name = p.currentName();
+                JsonToken value = p.nextToken();
+                switch (name) {
+                    case "shard" -> task = text(p, value);
+                    case "try" -> attempt = u64(p, value);
+                    case "status" -> state = state(text(p, value));
+                    case "cause" -> why = text(p, value);
+                    default -> p.skipChildren();
+                }
+            }
+            tasks.add(new TaskReport(task, attempt, state, why));
+        }
+    }
+
+    private static String text(JsonParser p, JsonToken value) throws IOException {
+        p.skipChildren();
+        return value == JsonToken.VALUE_STRING ? p.getText() : "";
+    }
+
+    private static long u64(JsonParser p, JsonToken value) throws IOException {
+        p.skipChildren();
+        return value == JsonToken.VALUE_NUMBER_INT ? p.getNumberValue().longValue() : 0;
+    }
+
+    private static State state(String status) {
+        return switch (status) {
+            case "fetching" -> State.FETCHING;
+            case "saving" -> State.SAVING;
+            case "exited" -> State.EXITED;
+            default -> State.RUNNING;
+        };
+    }
+
+    /** The report in a worker's answer, or null if it isn't one. */
     public static Report report(JsonNode b) {
         if (b == null || !b.isObject() || !b.path("bothy").isTextual() || !b.path("tenure").isIntegralNumber() || !b.path("tick").isIntegralNumber()) {
             return null;
         }
         List<TaskReport> tasks = new ArrayList<>();
         for (JsonNode t : b.path("shards")) {
-            State state = switch (t.path("status").asText()) {
-                case "fetching" -> State.FETCHING;
-                case "saving" -> State.SAVING;
-                case "exited" -> State.EXITED;
-                default -> State.RUNNING;
-            };
+            State state = state(t.path("status").asText());
             tasks.add(new TaskReport(t.path("shard").asText(), Codec.u64(t.path("try")), state, t.path("cause").asText("")));
         }
         return new Report(b.path("bothy").asText(), b.path("addr").asText(""), b.path("flavour").asText(""), b.path("hall").asText(""),
--- a/src/test/java/org/hollypick/HttpTest.java
+++ b/src/test/java/org/hollypick/HttpTest.java
@@ -40,7 +40,7 @@
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8192);
-        network = new Network(worker.getIoThread(), buffers);
+        network = new Network(worker.getIoThread(), buffers, 10);
         addr = free();
         HttpServer.Service echo = (method, path, body, answer) -> {
             if (path.equals("/hang")) {
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -31,7 +31,7 @@
 
     private static Settings settings(Map<String, Settings.Team> teams) {
         return new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a", "b"), teams, List.of(),
-                3, LEASE_MS / 1000.0, 40, 100, 30, 8192, 12, 8, 4);
+                3, LEASE_MS / 1000.0, 40, 100, 30, 8192, 12, 8, 4, 1000);
     }
 
     private static JobSpec spec(String id, int tasks, boolean service) {
@@ -89,7 +89,7 @@
         List<Order> orders = scheduler.orders(m);
         scheduler.sentDirect(m, orders);
         scheduler.directEnded(m, orders, 1, false);
-        TaskReport failed = new TaskReport(p.taskId(), p.attempt, State.EXITED, "error");
+        TaskReport failed = new TaskReport(p.taskId, p.attempt, State.EXITED, "error");
         scheduler.report(m, report("n-1", 1, 2, 5, failed), true, 1_000);
         assertEquals(0, clears(scheduler.orders(m)));
         assertTrue(job.pending.get(0), "an exited attempt can't start again, so the task is free");
@@ -102,7 +102,7 @@
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
         scheduler.sentInAnswer(m, scheduler.orders(m));
-        TaskReport failed = new TaskReport(p.taskId(), p.attempt, State.EXITED, "error");
+        TaskReport failed = new TaskReport(p.taskId, p.attempt, State.EXITED, "error");
         scheduler.report(m, report("n-1", 1, 2, 5, failed), false, 100);
         assertEquals(0, clears(scheduler.orders(m)));
         scheduler.report(m, report("n-1", 1, 3, 5, failed), true, 3_000);
@@ -114,7 +114,7 @@
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
-        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(p.taskId(), p.attempt, State.EXITED, "done")), true, 100);
+        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "done")), true, 100);
         assertTrue(job.finished());
         assertEquals(0, clears(scheduler.orders(m)));
         scheduler.close(job);
@@ -155,7 +155,7 @@
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
         Placement p = launched(job, m, 0);
         scheduler.tick(LEASE_MS + 2_000);
-        assertFalse(scheduler.report(m, report("n-1", 1, 9, 5, new TaskReport(p.taskId(), p.attempt, State.RUNNING, "")), true, LEASE_MS + 3_000));
+        assertFalse(scheduler.report(m, report("n-1", 1, 9, 5, new TaskReport(p.taskId, p.attempt, State.RUNNING, "")), true, LEASE_MS + 3_000));
         assertTrue(job.pending.get(0));
     }
 
@@ -202,7 +202,7 @@
         Machine m = reporting();
         Job low = scheduler.addJob(spec("req-1", 4, false), 1, 5, 0);
         scheduler.pass(0);
-        TaskReport[] running = low.live.values().stream().map(p -> new TaskReport(p.taskId(), p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
+        TaskReport[] running = low.live.values().stream().map(p -> new TaskReport(p.taskId, p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
         scheduler.report(m, report("n-1", 1, 2, 5, running), true, 100);
         scheduler.addJob(spec("req-2", 1, true), 2, 5, 100);
         scheduler.pass(100);
@@ -215,7 +215,7 @@
     private void fail(Machine m, Job job, long tick, long now) {
         Placement p = job.live.values().iterator().next();
         assertEquals(m, p.machine);
-        scheduler.report(m, report(m.id, 1, tick, 5, new TaskReport(p.taskId(), p.attempt, State.EXITED, "error")), true, now);
+        scheduler.report(m, report(m.id, 1, tick, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "error")), true, now);
     }
 
     /** Two jobs that fail on one machine alone speak against the machine; what runs there goes on. */
@@ -229,8 +229,8 @@
         Placement running = good.live.get(0);
         Placement a = one.live.get(0);
         Placement b = two.live.get(0);
-        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(running.taskId(), running.attempt, State.RUNNING, ""),
-                new TaskReport(a.taskId(), a.attempt, State.EXITED, "error"), new TaskReport(b.taskId(), b.attempt, State.EXITED, "error")), true, 100);
+        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(running.taskId, running.attempt, State.RUNNING, ""),
+                new TaskReport(a.taskId, a.attempt, State.EXITED, "error"), new TaskReport(b.taskId, b.attempt, State.EXITED, "error")), true, 100);
         assertTrue(m.faulty);
         assertFalse(running.stop);
         scheduler.tick(200_000);
--- a/src/test/java/org/hollypick/SettingsTest.java
+++ b/src/test/java/org/hollypick/SettingsTest.java
@@ -38,6 +38,8 @@
             [params.cloud]
             rps = 8.0
             list_lag_s = 6.0
+            [params.resources]
+            sockets = 1500
             """;
 
     private static ObjectNode toml() throws Exception {
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -117,7 +117,7 @@
             }
         }
         return new Settings("bothy-" + index, "a", "p" + index + ":1", "m" + index + ":1", siblings, "cloud:1", "state:1", ZONES,
-                Map.of("team", new Settings.Team("team", 20, TEAM_CPUS, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150, 60, 8192, 12, 8, 4);
+                Map.of("team", new Settings.Team("team", 20, TEAM_CPUS, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150, 60, 8192, 12, 8, 4, 1000);
     }
 
     private void sweep() {
