--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -98,7 +98,7 @@
             }
             state.setOwner(true);
             term = new Term(baton, runtime, settings, operator, view, state, cloud, workers, types, () -> membership.entitled(baton),
-                    () -> membership.fence(baton), membership::resign);
+                    () -> membership.fence(baton), membership::resign, membership.terms() == 1);
             term.start();
         }
         membership.claimIfFree();
--- a/src/main/java/org/hollypick/cluster/Keys.java
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -22,8 +22,8 @@
         return JOB + id;
     }
 
-    public static String progress(String id, int chunk) {
-        return PROGRESS + id + "/" + chunk;
+    public static String progress(int slot) {
+        return PROGRESS + slot;
     }
 
     /** A key that is used once: no other record of machines ever has it. */
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -236,6 +236,12 @@
         return roster == null ? null : roster.data().path("leader").asText();
     }
 
+    /** How many terms there have been, the present one included. */
+    public long terms() {
+        View.Entry roster = view.get(Keys.ROSTER);
+        return roster == null ? 0 : roster.data().path("terms").asLong();
+    }
+
     public long rosterStamp() {
         return view.stamp(Keys.ROSTER);
     }
@@ -285,7 +291,7 @@
     }
 
     private void write(StateClient.Txn txn, String why) {
-        ObjectNode roster = Codec.object().put("leader", settings.node()).put("member", memberStamp);
+        ObjectNode roster = Codec.object().put("leader", settings.node()).put("member", memberStamp).put("terms", terms() + 1);
         state.commitNow(txn.put(Keys.ROSTER, roster), r -> {
             LOG.info("roster written status={} why={}", r.status(), why);
             // The watch brings the outcome, whatever the answer was.
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -62,7 +62,7 @@
     /** Ratio of the state service's limits that the nodes plan to use together. */
     public static final double STATE_BUDGET = 0.85;
     /** Ratio of the writes that the owner may use; the others share the rest. */
-    public static final double OWNER_WRITE_SHARE = 0.6;
+    public static final double OWNER_WRITE_SHARE = 0.4;
     /** Requests queued at the state client before new submissions are refused with 503. */
     public static final int STATE_QUEUE = 100;
     /** Milliseconds a queued state request may wait for its turn; users give up after 5 s. */
@@ -75,7 +75,7 @@
     public static final int RETRY_AFTER_S = 1;
     /** Tasks of one job at most, from the protocol. */
     public static final int TASKS_MAX = 100_000;
-    /** Tasks in one progress record: 4 KiB of bits is 5.5 KiB in base64, under the smallest value limit. */
+    /** Tasks in one part of a progress record: 4 KiB of bits is 5.5 KiB in base64, under the smallest value limit. */
     public static final int PROGRESS_CHUNK = 32_768;
 
     // ---- loops ----
@@ -87,6 +87,8 @@
     public static final long PASS_EVERY_MS = 1_000;
     /** Milliseconds between writes to the list of machines: those that come up close together share one. */
     public static final long REGISTER_GAP_MS = 200;
+    /** Milliseconds between writes of progress: it holds up only the clearing of what is done. */
+    public static final long PROGRESS_GAP_MS = 500;
     /** Bytes of one machine in a durable record, with a third to spare: names, type, zone and address. */
     public static final int MACHINE_RECORD_BYTES = 160;
     /** Milliseconds between looks at the cloud's machine list. */
--- a/src/main/java/org/hollypick/control/Records.java
+++ b/src/main/java/org/hollypick/control/Records.java
@@ -41,15 +41,11 @@
         return (tasks + Constants.PROGRESS_CHUNK - 1) / Constants.PROGRESS_CHUNK;
     }
 
-    public static JsonNode progress(BitSet done, int chunk) {
-        int from = chunk * Constants.PROGRESS_CHUNK;
-        byte[] bits = done.get(from, from + Constants.PROGRESS_CHUNK).toByteArray();
-        return Codec.object().put("done", Base64.getEncoder().encodeToString(bits));
+    public static String text(BitSet bits) {
+        return Base64.getEncoder().encodeToString(bits.toByteArray());
     }
 
-    public static void restore(BitSet done, int chunk, JsonNode record) {
-        BitSet bits = BitSet.valueOf(Base64.getDecoder().decode(record.path("done").asText("")));
-        int from = chunk * Constants.PROGRESS_CHUNK;
-        bits.stream().forEach(i -> done.set(from + i));
+    public static BitSet bits(JsonNode text) {
+        return BitSet.valueOf(Base64.getDecoder().decode(text.asText("")));
     }
 }
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -36,6 +36,8 @@
     private final Runnable pump;
     private final Fleet fleet;
     private final long startedAt;
+    /** No earlier owner can have rented anything. */
+    private final boolean nobodyBefore;
     private final Map<Fleet.Kind, Hire> hiring = new HashMap<>();
     private final Set<String> returning = new HashSet<>();
     private final Map<String, Long> listedAt = new HashMap<>();
@@ -46,7 +48,7 @@
     private record Hire(String name, int count) {}
 
     Rentals(Runtime runtime, Settings settings, OperatorSettings operator, Scheduler scheduler, CloudClient cloud,
-            Map<String, MachineType> types, BooleanSupplier acting, Runnable pump) {
+            Map<String, MachineType> types, BooleanSupplier acting, Runnable pump, boolean nobodyBefore) {
         this.runtime = runtime;
         this.settings = settings;
         this.scheduler = scheduler;
@@ -55,6 +57,7 @@
         this.acting = acting;
         this.pump = pump;
         this.fleet = new Fleet(operator);
+        this.nobodyBefore = nobodyBefore;
         this.startedAt = runtime.now();
     }
 
@@ -84,7 +87,7 @@
     void rentAndReturn(long now) {
         // Machines whose return wasn't answered: again, until it is.
         giveBack(scheduler.machines.values().stream().filter(m -> m.returning && !returning.contains(m.id)).toList(), "again");
-        if (!listedOnce || now - startedAt < settings.listLagS() * 2000 && startedWithMachines()) {
+        if (!nobodyBefore && (!listedOnce || now - startedAt < settings.listLagS() * 2000 && !scheduler.machines.isEmpty())) {
             return; // machines that an earlier owner rented may not be listed yet
         }
         Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
@@ -96,10 +99,6 @@
         giveBack(plan.returns(), "idle");
     }
 
-    private boolean startedWithMachines() {
-        return !scheduler.machines.isEmpty();
-    }
-
     private void hire(Fleet.Kind kind, Hire hire) {
         hiring.put(kind, hire);
         if (!acting.getAsBoolean()) {
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,6 +20,7 @@
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
 import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.ledger.Machine;
@@ -50,6 +50,7 @@
     private final Workers workers;
     private final Rentals rentals;
     private final Registry registry;
+    private final Progress progress;
     private final BooleanSupplier entitled;
     private final Runnable fence;
     private final Map<String, MachineType> types;
@@ -57,7 +58,6 @@
 
     private boolean ended;
     private boolean pumping;
-    private boolean flushing;
     private long lastTick;
     private long smoothSince;
     private long nextFleet;
@@ -70,7 +70,7 @@
     private final Histogram lateness = new Histogram(2);
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, StateClient state, CloudClient cloud,
-            WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence, Runnable resign) {
+            WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence, Runnable resign, boolean nobodyBefore) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
@@ -84,8 +84,9 @@
         this.smoothSince = runtime.now();
         this.scheduler = new Scheduler(baton, settings, operator.firstShare(), runtime.now());
         this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, this::pump);
-        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, this::pump);
+        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
+        this.progress = new Progress(runtime, view, state, settings, scheduler);
     }
 
     /** Starts from the records; the view holds every change up to the roster's own, and older owners can make none after it. */
@@ -101,15 +102,8 @@
         });
         registry.load(this::loadMachine);
         recordsChanged(keys);
+        progress.load();
         for (Job job : scheduler.jobs.values()) {
-            for (int chunk = 0; chunk < Records.chunks(job.spec.tasks()); chunk++) {
-                View.Entry e = view.get(Keys.progress(job.spec.id(), chunk));
-                if (e != null) {
-                    Records.restore(job.done, chunk, e.data());
-                }
-            }
-            job.committed = (BitSet) job.done.clone();
-            job.pending.andNot(job.done);
             if (sizes.containsKey(job.spec.id())) {
                 scheduler.restoreSize(job, sizes.get(job.spec.id()));
             }
@@ -165,7 +159,9 @@
             if (!Records.isOver(e.data())) {
                 if (job == null) {
                     try {
-                        scheduler.addJob(JobCodec.read(e.data().path("spec")), e.stamp(), Codec.u64(e.data().path("under")), now);
+                        JobSpec spec = JobCodec.read(e.data().path("spec"));
+                        LOG.info("job job={} class={} tasks={} baton={}", id, spec.jobClass(), spec.tasks(), baton);
+                        scheduler.addJob(spec, e.stamp(), Codec.u64(e.data().path("under")), now);
                     } catch (JobCodec.Invalid x) {
                         LOG.error("job record can't be read job={} field={}", id, x.getMessage());
                     }
@@ -211,20 +207,11 @@
 
     private StateClient.Txn ending(Job job, String status) {
         String id = job.spec.id();
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order)
-                .put(Keys.job(id), Records.over(job, status));
-        for (int chunk = 0; chunk < Records.chunks(job.spec.tasks()); chunk++) {
-            if (view.get(Keys.progress(id, chunk)) != null) {
-                txn.drop(Keys.progress(id, chunk));
-            }
-        }
-        return txn;
+        return new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order).put(Keys.job(id), Records.over(job, status));
     }
 
-    private void flush() {
-        if (flushing || !acting()) {
-            return;
-        }
+    /** Writes the ends of the jobs that are finished. */
+    private void closeFinished() {
         for (Job job : new ArrayList<>(scheduler.progressDirty)) {
             if (!job.finished() || job.closing) {
                 continue;
@@ -241,50 +228,6 @@
                 }
             });
         }
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton);
-        Map<Job, BitSet> included = new HashMap<>();
-        int bytes = 0;
-        for (Job job : new ArrayList<>(scheduler.progressDirty)) {
-            int chunks = Records.chunks(job.spec.tasks());
-            if (job.closing || job.finished() || job.status != Job.Status.LIVE) {
-                continue;
-            }
-            List<Integer> changed = new ArrayList<>();
-            for (int chunk = 0; chunk < chunks; chunk++) {
-                int from = chunk * Constants.PROGRESS_CHUNK;
-                int to = from + Constants.PROGRESS_CHUNK;
-                if (!job.done.get(from, to).equals(job.committed.get(from, to))) {
-                    changed.add(chunk);
-                }
-            }
-            int size = changed.size() * (Math.min(job.spec.tasks(), Constants.PROGRESS_CHUNK) / 6 + 200);
-            if (txn.ops() + changed.size() > settings.txnOps() || bytes + size > Constants.BODY_BYTES * 3 / 4) {
-                break;
-            }
-            bytes += size;
-            scheduler.progressDirty.remove(job);
-            if (!changed.isEmpty()) {
-                txn.when(Keys.job(job.spec.id()), job.order);
-                changed.forEach(chunk -> txn.put(Keys.progress(job.spec.id(), chunk), Records.progress(job.done, chunk)));
-                included.put(job, (BitSet) job.done.clone());
-            }
-        }
-        if (txn.ops() == 0) {
-            return;
-        }
-        flushing = true;
-        state.commit(txn, r -> {
-            flushing = false;
-            if (r.ok()) {
-                included.forEach((job, bits) -> {
-                    job.committed.or(bits);
-                    scheduler.progressCommitted(job);
-                });
-                pump();
-            } else {
-                scheduler.progressDirty.addAll(included.keySet());
-            }
-        });
     }
 
     private void register() {
@@ -390,8 +333,9 @@
             scheduler.freed.clear();
             freed.forEach(m -> scheduler.fill(m, now));
             workers.send();
+            closeFinished();
             register();
-            flush();
+            progress.flush();
         });
     }
 
--- a/src/main/java/org/hollypick/io/RateBudget.java
+++ b/src/main/java/org/hollypick/io/RateBudget.java
@@ -16,6 +16,10 @@
         this.rate = rate;
     }
 
+    public double rate() {
+        return rate;
+    }
+
     private void refill(long now) {
         tokens = Math.min(Math.max(1, rate), tokens + rate * (now - at) / 1000.0);
         at = now;
--- a/src/main/java/org/hollypick/state/StateClient.java
+++ b/src/main/java/org/hollypick/state/StateClient.java
@@ -87,6 +87,11 @@
         return queue.size() >= Constants.STATE_QUEUE;
     }
 
+    /** Whether there is room for writes that can wait: nothing is queued, and half a second's worth is left for what users wait for. */
+    public boolean spare() {
+        return queue.isEmpty() && writes.has(writes.rate() / 2, runtime.now());
+    }
+
     public void get(String key, Consumer<Reply> reply) {
         submit(Call.of(address, "GET", "/keys/" + key, null, Constants.STATE_TIMEOUT_MS), 0, reply);
     }
--- a/src/test/java/org/hollypick/sim/RulesTest.java
+++ b/src/test/java/org/hollypick/sim/RulesTest.java
@@ -112,9 +112,9 @@
             Day day = new Day(seed);
             day.state.holdShare = 0.2;
             day.submitSome(25, 60_000);
-            for (int i = 0; i < 3; i++) {
-                int node = i;
-                day.world.at(30_000 + 30_000 * i, () -> day.world.cut("bothy-" + node, "state:1", 25_000));
+            for (int i = 0; i < 12; i++) {
+                int node = i % 3;
+                day.world.at(20_000 + 8_000 * i, () -> day.world.cut("bothy-" + node, "state:1", 6_000));
             }
             day.play(120_000);
             noticed = !day.checker.broken.isEmpty();
