Warm room follows arriving services; a zone's need counts where replicas may still go

Cause: services waited up to a boot each because a zone's ordinary machines were full: room kept was 4 cores whatever the load, and what waits of a spread service was split evenly though one zone already held its half.

--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -133,10 +133,9 @@
     public static final long TASK_BACKOFF_MAX_MS = 30_000;
     /** Milliseconds beyond the longest time between two reports after which a machine is asked directly: lost packets, a busy node. */
     public static final long PROBE_SLACK_MS = 300;
-    /** The same, without any word at all, while machines seem to fail together, and after an unanswered call. */
-    public static final long PROBE_MS = 1_000;
-    /** Milliseconds for which machines with services are asked early after one of them left a call unanswered: hangs come in groups. */
-    public static final long SUSPICION_MS = 3_000;
+    /** Share of the report interval without any word after which a machine with services, or one that left a call unanswered, is asked:
+     * what runs there should start elsewhere within seconds. */
+    public static final double PROBE_SHARE = 1 / 3.0;
     /** Direct calls under way at most: bounds sockets and what the answers cost at once. */
     public static final int DIRECT_OPEN = 96;
     /** Orders in one answer or call at most: 64 KiB. */
@@ -180,6 +179,12 @@
     public static final int HIRE_MAX = 50;
     /** Names in one return request at most, from the protocol. */
     public static final int RETURN_MAX = 100;
-    /** Cores kept for service tasks to come, per zone. */
+    /** Cores kept for service tasks to come, per zone, at least. */
     public static final double WARM_CORES = 4.0;
+    /** Seconds of the mean arriving services for which room is kept: they also end, so less than a boot's worth; lower work may use it. */
+    public static final double WARM_S = 25;
+    /** Seconds over which arriving services are followed: short, so that the many at a start are soon forgotten. */
+    public static final double SERVICE_WINDOW_S = 60;
+    /** Share of the cores of services that the room kept for more of them may reach. */
+    public static final double WARM_SHARE = 0.1;
 }
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -35,8 +35,6 @@
     private final long startedAt;
     /** Direct calls under way. */
     private int open;
-    /** Until when machines with services are asked early, since one of them left a question unanswered. */
-    private long suspiciousUntil;
     /** Since when nearly all machines have been silent; 0 if they aren't. */
     private long cutOffSince;
 
@@ -143,9 +141,6 @@
         if (r.status() != 200 && r.status() != 409) {
             m.unanswered++;
             m.directAfter = runtime.now() + Constants.DIRECT_PAUSE_MS;
-            if (m.serviceCpus() > 0) {
-                suspiciousUntil = runtime.now() + Constants.SUSPICION_MS;
-            }
             LOG.debug("order unanswered machine={} status={}", m.id, r.status());
             return;
         }
@@ -179,8 +174,9 @@
         if (now - startedAt < Constants.SILENT_GRACE_MS || now - smoothSince < Constants.SILENT_GRACE_MS) {
             return List.of();
         }
-        // Machines report within a quarter more than the interval; asking before that costs a call per machine and tells little.
+        // Machines report within a quarter more than the interval. Only the loss of services is worth asking more often.
         long usual = (long) (settings.reportS() * 1_250) + Constants.PROBE_SLACK_MS;
+        long early = (long) (settings.reportS() * 1_000 * Constants.PROBE_SHARE);
         List<Machine> silent = new ArrayList<>();
         int up = 0;
         for (Machine m : scheduler.machines.values()) {
@@ -189,10 +185,9 @@
             }
             up++;
             long quiet = now - m.lastReportAt;
-            boolean early = m.unanswered > 0 || now < suspiciousUntil && m.serviceCpus() > 0;
             if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED) {
                 silent.add(m);
-            } else if (quiet > (early ? Constants.PROBE_MS : usual) && open < Constants.DIRECT_OPEN) {
+            } else if (quiet > (m.unanswered > 0 || m.serviceCpus() > 0 ? early : usual) && open < Constants.DIRECT_OPEN) {
                 direct(m, true);
             }
         }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -33,6 +33,7 @@
     private long attempts;
     private long lastNow;
     private double arrivedWork;
+    private double arrivedServices;
     /** By class of jobs: how the run times of finished tasks compare with the estimates. */
     private final Map<String, Double> runRatio = new HashMap<>();
 
@@ -73,7 +74,9 @@
         if (job == null) {
             job = new Job(spec, order, under, now);
             jobs.put(spec.id(), job);
-            if (!spec.service()) {
+            if (spec.service()) {
+                arrivedServices += spec.tasks() * spec.cpus();
+            } else {
                 arrivedWork += spec.tasks() * spec.cpus() * expectedRunS(job);
             }
             passWanted = true;
@@ -88,6 +91,13 @@
         return work;
     }
 
+    /** Cores of services that arrived since the last call. */
+    public double takeArrivedServices() {
+        double cores = arrivedServices;
+        arrivedServices = 0;
+        return cores;
+    }
+
     /** The owner's estimate, corrected by how those of its class have been wrong so far. */
     public double expectedRunS(Job job) {
         return Math.max(1, job.spec.estimateS()) * runRatio.getOrDefault(job.spec.jobClass(), 1.0);
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -28,11 +28,8 @@
     private final OperatorSettings operator;
     /** Until when a kind isn't asked for, after the cloud refused it. */
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
-    private double mean;
-    /** How much of the window has been seen; corrects the mean while it is young. */
-    private double seen;
-    private double load;
-    private long loadAt;
+    private final Mean arrays = new Mean(Constants.LOAD_WINDOW_S);
+    private final Mean services = new Mean(Constants.SERVICE_WINDOW_S);
 
     public Fleet(OperatorSettings operator) {
         this.operator = operator;
@@ -53,7 +50,8 @@
 
     public Plan plan(Scheduler scheduler, Map<String, MachineType> types, List<String> zones, long now) {
         Demand demand = demand(scheduler, zones, now);
-        follow(scheduler.takeArrivedWork(), now);
+        arrays.arrived(scheduler.takeArrivedWork(), now);
+        services.arrived(scheduler.takeArrivedServices(), now);
         double spotCores = 0;
         double ordinaryCores = 0;
         Map<String, Double> ordinary = new HashMap<>();
@@ -72,7 +70,8 @@
         double serviceNeed = 0;
         Map<String, Double> spare = new HashMap<>();
         for (String zone : zones) {
-            double need = demand.serviceCores.getOrDefault(zone, 0.0) + (demand.service == null ? 0 : operator.warmCores());
+            double need = demand.serviceCores.getOrDefault(zone, 0.0);
+            need += demand.service == null ? 0 : warm(need, zones.size());
             serviceNeed += need;
             double missing = need - ordinary.getOrDefault(zone, 0.0);
             spare.put(zone, -missing);
@@ -85,7 +84,7 @@
             }
         }
         double supply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
-        double base = load * Constants.LOAD_HEADROOM;
+        double base = arrays.perSecond() * Constants.LOAD_HEADROOM;
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
@@ -101,6 +100,12 @@
         return new Plan(rents, returns(scheduler.machines.values(), spare, supply - base, now));
     }
 
+    /** Cores kept in a zone for services to come. */
+    private double warm(double need, int zones) {
+        double follows = services.perSecond() * Constants.WARM_S / zones;
+        return Math.max(operator.warmCores(), Math.min(follows, need * Constants.WARM_SHARE));
+    }
+
     /** Cores missing to have today's work done a while after new machines are up; sooner than that they can't help. */
     private static double late(Demand demand, double supply, double bootS, double catchUpS) {
         return demand.arraysWait ? (demand.arrayWork - supply * (bootS + catchUpS)) / catchUpS : 0;
@@ -116,11 +121,7 @@
                 for (Placement p : job.live.values()) {
                     d.serviceCores.merge(p.machine.zone, s.cpus(), Double::sum);
                 }
-                for (String zone : zones) {
-                    if (s.zone() == null || s.zone().equals(zone)) {
-                        d.serviceCores.merge(zone, pending * s.cpus() / (s.zone() == null ? zones.size() : 1), Double::sum);
-                    }
-                }
+                shares(job, zones).forEach((zone, share) -> d.serviceCores.merge(zone, pending * s.cpus() * share, Double::sum));
                 continue;
             }
             double runs = scheduler.expectedRunS(job);
@@ -137,16 +138,21 @@
         return d;
     }
 
-    /** Follows the mean of arriving array work, in cores. */
-    private void follow(double arrivedWork, long now) {
-        double s = Math.max(0.001, (now - loadAt) / 1000.0);
-        if (loadAt > 0) {
-            double weight = Math.min(1, s / Constants.LOAD_WINDOW_S);
-            seen += weight * (1 - seen);
-            mean += weight * (arrivedWork / s - mean);
-            load = mean / seen;
+    /** How what waits of a job will spread over the zones: only where it may still go. */
+    private static Map<String, Double> shares(Job job, List<String> zones) {
+        JobSpec s = job.spec;
+        Map<String, Double> room = new HashMap<>();
+        double all = 0;
+        for (String zone : zones) {
+            if (s.zone() == null || s.zone().equals(zone)) {
+                double left = s.spread() ? Math.max(0, (s.tasks() + 1) / 2 - job.inZone(zone)) : 1;
+                room.put(zone, left);
+                all += left;
+            }
         }
-        loadAt = now;
+        double sum = Math.max(all, 1e-9);
+        room.replaceAll((zone, left) -> left / sum);
+        return room;
     }
 
     /** The kind with the cheapest core that the job may use and the cloud didn't just refuse. */
