--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -165,8 +165,18 @@
     public static final long IDLE_ORDINARY_MS = 15_000;
     /** Seconds over which the mean arriving work is followed: a few jobs' worth. */
     public static final double LOAD_WINDOW_S = 240;
-    /** Room kept for arrays, as a multiple of the mean arriving work: jobs come in bunches. */
-    public static final double LOAD_HEADROOM = 0.6;
+    /** Room kept for arrays, as a multiple of the mean arriving work, when that is known well: it swings. */
+    public static final double LOAD_HEADROOM = 1.3;
+    /** Jobs in the window at which the mean is half relied on: sizes vary by as much as their mean. */
+    public static final double LOAD_DOUBT_JOBS = 40;
+    /** Milliseconds at a term's start whose arrivals aren't counted into the means. */
+    public static final long CROWD_MS = 20_000;
+    /** Multiple of the cores that arrays use or wait for beyond which room is more than needed. */
+    public static final double BUSY_MARGIN = 1.1;
+    /** Seconds of fetching that it costs an array at most to leave a surplus machine alone. */
+    public static final double SURPLUS_S = 30;
+    /** Requests for machines of arrays in one plan at most: the cloud takes a few calls a second. */
+    public static final int RENTS_AT_ONCE = 4;
     /** Seconds within which work that waits should be caught up once new machines are up. */
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -38,15 +38,14 @@
     private final long startedAt;
     /** No earlier owner can have rented anything. */
     private final boolean nobodyBefore;
-    private final Map<Fleet.Kind, Hire> hiring = new HashMap<>();
+    /** Rental requests under way. */
+    private int hiring;
     private final Set<String> returning = new HashSet<>();
     private final Map<String, Long> listedAt = new HashMap<>();
     private boolean listing;
     private boolean listedOnce;
     private long hires;
 
-    private record Hire(String name, int count) {}
-
     Rentals(Runtime runtime, Settings settings, OperatorSettings operator, Scheduler scheduler, CloudClient cloud,
             Map<String, MachineType> types, BooleanSupplier acting, Runnable pump, boolean nobodyBefore) {
         this.runtime = runtime;
@@ -91,26 +90,26 @@
             return; // machines that an earlier owner rented may not be listed yet
         }
         Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
-        for (Fleet.Rent rent : plan.rents()) {
-            if (!hiring.containsKey(rent.kind())) {
-                hire(rent.kind(), new Hire(settings.node() + "-" + scheduler.baton + "-" + hires++, rent.count()));
+        if (hiring == 0) { // else machines may be on their way already
+            for (Fleet.Rent rent : plan.rents()) {
+                hiring++;
+                hire(rent.kind(), settings.node() + "-" + scheduler.baton + "-" + hires++, rent.count());
             }
         }
         giveBack(plan.returns(), "idle");
     }
 
-    private void hire(Fleet.Kind kind, Hire hire) {
-        hiring.put(kind, hire);
+    private void hire(Fleet.Kind kind, String name, int count) {
         if (!acting.getAsBoolean()) {
-            hiring.remove(kind);
+            hiring--;
             return;
         }
-        cloud.hire(hire.name(), kind.type(), kind.zone(), kind.spot(), hire.count(), r -> {
-            LOG.info("hire type={} zone={} spot={} wanted={} status={} got={}", kind.type(), kind.zone(), kind.spot(), hire.count(),
+        cloud.hire(name, kind.type(), kind.zone(), kind.spot(), count, r -> {
+            LOG.info("hire type={} zone={} spot={} wanted={} status={} got={}", kind.type(), kind.zone(), kind.spot(), count,
                     r.status(), r.body().path("bothies").size());
             long now = runtime.now();
             if (r.status() == 200) {
-                hiring.remove(kind);
+                hiring--;
                 int got = 0;
                 for (JsonNode id : r.body().path("bothies")) {
                     got++;
@@ -118,14 +117,14 @@
                         scheduler.addMachine(id.asText(), types.get(kind.type()), kind.zone(), kind.spot(), false, now);
                     }
                 }
-                if (got < hire.count()) {
+                if (got < count) {
                     fleet.refused(kind, now);
                 }
             } else if (r.status() == Reply.NO_ANSWER) {
                 // It may have been carried out: the same name again gives the same machines.
-                runtime.after(1_000, () -> hire(kind, hire));
+                runtime.after(1_000, () -> hire(kind, name, count));
             } else {
-                hiring.remove(kind);
+                hiring--;
                 if (r.status() == 503) {
                     fleet.refused(kind, now);
                 }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -32,8 +32,7 @@
     private boolean settled;
     private long attempts;
     private long lastNow;
-    private double arrivedWork;
-    private double arrivedServices;
+    private Arrived arrived = new Arrived(0, 0, 0);
     /** By class of jobs: how the run times of finished tasks compare with the estimates. */
     private final Map<String, Double> runRatio = new HashMap<>();
 
@@ -74,28 +73,21 @@
         if (job == null) {
             job = new Job(spec, order, under, now);
             jobs.put(spec.id(), job);
-            if (spec.service()) {
-                arrivedServices += spec.tasks() * spec.cpus();
-            } else {
-                arrivedWork += spec.tasks() * spec.cpus() * expectedRunS(job);
-            }
+            double cores = spec.tasks() * spec.cpus();
+            arrived = spec.service() ? new Arrived(arrived.arrays, arrived.arrayWork, arrived.serviceCores + cores)
+                    : new Arrived(arrived.arrays + 1, arrived.arrayWork + cores * expectedRunS(job), arrived.serviceCores);
             passWanted = true;
         }
         return job;
     }
 
-    /** Array work, in core-seconds, that arrived since the last call. */
-    public double takeArrivedWork() {
-        double work = arrivedWork;
-        arrivedWork = 0;
-        return work;
-    }
+    /** What arrived in a while: array jobs, their work in core-seconds, and the cores of services. */
+    public record Arrived(int arrays, double arrayWork, double serviceCores) {}
 
-    /** Cores of services that arrived since the last call. */
-    public double takeArrivedServices() {
-        double cores = arrivedServices;
-        arrivedServices = 0;
-        return cores;
+    public Arrived takeArrived() {
+        Arrived taken = arrived;
+        arrived = new Arrived(0, 0, 0);
+        return taken;
     }
 
     /** The owner's estimate, corrected by how those of its class have been wrong so far. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -28,6 +28,8 @@
     private final OperatorSettings operator;
     /** Until when a kind isn't asked for, after the cloud refused it. */
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
+    private long startedAt;
+    private final Mean arrayJobs = new Mean(Constants.LOAD_WINDOW_S);
     private final Mean arrays = new Mean(Constants.LOAD_WINDOW_S);
     private final Mean services = new Mean(Constants.SERVICE_WINDOW_S);
 
@@ -43,6 +45,7 @@
     private static final class Demand {
         final Map<String, Double> serviceCores = new HashMap<>();
         double arrayWork;
+        double arrayCores;
         boolean arraysWait;
         Job service;
         Job array;
@@ -50,8 +53,7 @@
 
     public Plan plan(Scheduler scheduler, Map<String, MachineType> types, List<String> zones, long now) {
         Demand demand = demand(scheduler, zones, now);
-        arrays.arrived(scheduler.takeArrivedWork(), now);
-        services.arrived(scheduler.takeArrivedServices(), now);
+        follow(scheduler, now);
         double spotCores = 0;
         double ordinaryCores = 0;
         Map<String, Double> ordinary = new HashMap<>();
@@ -76,30 +78,76 @@
             double missing = need - ordinary.getOrDefault(zone, 0.0);
             spare.put(zone, -missing);
             if (missing > 0 && demand.service != null) {
-                Rent rent = pick(demand.service.spec, types, List.of(zone), false, missing, now);
-                if (rent != null) {
-                    rents.add(rent);
-                    ordinaryCores += rent.count() * types.get(rent.kind().type()).cpus();
-                }
+                rent(rents, demand.service.spec, types, List.of(zone), false, missing, now);
+                ordinaryCores += missing;
             }
         }
         double supply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
-        double base = arrays.perSecond() * Constants.LOAD_HEADROOM;
+        double base = arrays.perSecond() * headroom();
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
+            JobSpec array = demand.array.spec;
             double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
-            Rent rent = spot <= 0 ? null : pick(demand.array.spec, types, zones, true, spot, now);
-            double ordinaryNeed = late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S);
-            if (rent == null && ordinaryNeed > 0) {
-                rent = pick(demand.array.spec, types, zones, false, ordinaryNeed, now);
-            }
-            if (rent != null) {
-                rents.add(rent);
+            if (!rent(rents, array, types, zones, true, spot, now)) {
+                rent(rents, array, types, zones, false, late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), now);
             }
         }
+        cordon(scheduler.machines.values(), spare, supply - Math.max(base, demand.arrayCores * Constants.BUSY_MARGIN));
         return new Plan(rents, returns(scheduler.machines.values(), spare, supply - base, now));
     }
 
+    /** Means of what arrives. What was there when the term began, and the crowd at a start, say nothing about what follows. */
+    private void follow(Scheduler scheduler, long now) {
+        Scheduler.Arrived arrived = scheduler.takeArrived();
+        if (startedAt == 0) {
+            startedAt = now;
+        }
+        if (now - startedAt > Constants.CROWD_MS) {
+            arrays.arrived(arrived.arrayWork(), now);
+            arrayJobs.arrived(arrived.arrays(), now);
+            services.arrived(arrived.serviceCores(), now);
+        }
+    }
+
+    /** The mean of many jobs is relied on more than that of a few. */
+    private double headroom() {
+        double jobs = arrayJobs.perSecond() * Constants.LOAD_WINDOW_S;
+        return Constants.LOAD_HEADROOM * jobs / (jobs + Constants.LOAD_DOUBT_JOBS);
+    }
+
+    /** Asks for so many cores, in several requests if need be; false if no kind can be had. */
+    private boolean rent(List<Rent> rents, JobSpec job, Map<String, MachineType> types, List<String> zones, boolean spot, double cores, long now) {
+        double left = cores;
+        for (int i = 0; i < Constants.RENTS_AT_ONCE && left > 0; i++) {
+            Rent rent = pick(job, types, zones, spot, left, now);
+            if (rent == null) {
+                return false;
+            }
+            rents.add(rent);
+            left -= rent.count() * types.get(rent.kind().type()).cpus();
+        }
+        return true;
+    }
+
+    /** Marks machines that are more than what is needed, the emptiest first: arrays leave them alone while there are others, so that they
+     * empty and can be returned. */
+    private static void cordon(Collection<Machine> machines, Map<String, Double> spare, double surplus) {
+        Map<String, Double> zoneLeft = new HashMap<>(spare);
+        double left = surplus;
+        List<Machine> emptiest = new ArrayList<>(machines);
+        emptiest.sort(Comparator.comparingDouble(m -> m.usedCpus / m.type.cpus()));
+        for (Machine m : emptiest) {
+            double zone = zoneLeft.getOrDefault(m.zone, 0.0);
+            m.surplus = m.usable() && m.serviceCpus() <= 0 && left >= m.type.cpus() && (m.spot || zone >= m.type.cpus());
+            if (m.surplus) {
+                left -= m.type.cpus();
+                if (!m.spot) {
+                    zoneLeft.put(m.zone, zone - m.type.cpus());
+                }
+            }
+        }
+    }
+
     /** Cores kept in a zone for services to come. */
     private double warm(double need, int zones) {
         double follows = services.perSecond() * Constants.WARM_S / zones;
@@ -126,6 +174,7 @@
             }
             double runs = scheduler.expectedRunS(job);
             d.arrayWork += pending * s.cpus() * runs;
+            d.arrayCores += (pending + job.live.size()) * s.cpus();
             for (Placement p : job.live.values()) {
                 double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : 0;
                 d.arrayWork += s.cpus() * Math.max(runs - ran, runs * 0.1);
@@ -191,7 +240,7 @@
                 if (m.idle()) {
                     out.add(m);
                 }
-            } else if (m.up && m.idle() && !m.draining && now - m.idleSince > (m.spot ? operator.idleMs() : Constants.IDLE_ORDINARY_MS)) {
+            } else if (m.up && m.idle() && !m.draining && now - m.idleSince > (m.spot && !m.surplus ? operator.idleMs() : Constants.IDLE_ORDINARY_MS)) {
                 idle.add(m);
             }
         }
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -42,6 +42,8 @@
     public long noRoomUntil;
     /** Direct calls left unanswered since its last word. */
     public int unanswered;
+    /** More than is needed: arrays go elsewhere while they can. */
+    public boolean surplus;
     /** In the first Tyrex partition. */
     public boolean first;
     public boolean directBusy;
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -74,7 +74,7 @@
             // what is lost with one machine counts.
             return -fetch - replicas * Constants.REPLICA_APART - (m.serviceCpus() - replicas * s.cpus()) * Constants.SERVICE_SPREAD;
         }
-        return -fetch + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0);
+        return -fetch + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0) - (m.surplus ? Constants.SURPLUS_S : 0);
     }
 
     private static boolean fetching(Machine m, String image) {
