Means without bias, slow boots not counted as room, room beyond services 6 %, short shrinks

Causes: the ratio of run time to estimate was a mean of ratios, which overstated the load by a quarter; machines that boot for long counted as room, so a zone stayed short for a minute at the start; shortening up to twelve machine records at once held submissions up for a second.

--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -170,7 +170,7 @@
     /** Jobs in the window at which the mean is half relied on: sizes vary by as much as their mean. */
     public static final double LOAD_DOUBT_JOBS = 40;
     /** Milliseconds at a term's start whose arrivals aren't counted into the means. */
-    public static final long CROWD_MS = 20_000;
+    public static final long CROWD_MS = 30_000;
     /** Multiple of the cores that arrays use or wait for beyond which room is more than needed. */
     public static final double BUSY_MARGIN = 1.1;
     /** Seconds of fetching that it costs an array at most to leave a surplus machine alone. */
@@ -181,8 +181,10 @@
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
     public static final double CATCH_UP_ORDINARY_S = 40;
-    /** Weight of the newest finished task in the ratio of run time to estimate. */
-    public static final double RUN_RATIO_WEIGHT = 0.1;
+    /** Multiple of the mean load up to which ordinary machines are rented for arrays when spot ones are refused. */
+    public static final double ORDINARY_LOAD = 2.0;
+    /** Weight of the newest finished task in the ratio of run time to estimate: a few jobs of tens of tasks. */
+    public static final double RUN_RATIO_WEIGHT = 0.005;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
     public static final long NO_CAPACITY_MS = 12_000;
     /** Machines in one rental request at most, from the protocol. */
@@ -195,6 +197,10 @@
     public static final double WARM_S = 25;
     /** Seconds over which arriving services are followed: short, so that the many at a start are soon forgotten. */
     public static final double SERVICE_WINDOW_S = 60;
-    /** Share of the cores of services that the room kept for more of them may reach. */
-    public static final double WARM_SHARE = 0.1;
+    /** Share of the cores of services that is kept besides, at least: machines that boot slowly or fail leave a zone short. */
+    public static final double WARM_SHARE = 0.06;
+    /** Multiple of the usual boot time after which a machine that isn't up no longer counts as room to come. */
+    public static final double SLOW_BOOT = 1.6;
+    /** Records of machines that are shortened at once at most: users' writes must not wait behind them. */
+    public static final int SHRINK_OPS = 3;
 }
--- a/src/main/java/org/hollypick/control/Registry.java
+++ b/src/main/java/org/hollypick/control/Registry.java
@@ -148,6 +148,7 @@
         Set<String> out = new HashSet<>();
         Set<String> touched = new HashSet<>();
         int bytes = settings.valueBytes();
+        int most = txn.ops() + (state.spare() ? Constants.SHRINK_OPS : 0);
         for (String id : unwanted) {
             boolean all = true;
             for (String key : keysOf.getOrDefault(id, Set.of())) {
@@ -161,7 +162,7 @@
                 ObjectNode left = e.data().deepCopy();
                 left.remove(unwanted);
                 int size = left.size() * Constants.MACHINE_RECORD_BYTES;
-                if (txn.ops() >= settings.txnOps() || bytes + size > Constants.BODY_BYTES * 3 / 4) {
+                if (txn.ops() >= most || bytes + size > Constants.BODY_BYTES * 3 / 4) {
                     all = false;
                     break;
                 }
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -83,6 +83,11 @@
         });
     }
 
+    /** Mean cores that the arriving arrays keep busy. */
+    double load() {
+        return fleet.load();
+    }
+
     void rentAndReturn(long now) {
         // Machines whose return wasn't answered: again, until it is.
         giveBack(scheduler.machines.values().stream().filter(m -> m.returning && !returning.contains(m.id)).toList(), "again");
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -299,15 +299,18 @@
         int fetching = 0;
         double serviceCores = 0;
         double waiting = 0;
+        double waitingServices = 0;
         for (Machine m : scheduler.machines.values()) {
             fetching += m.startingTasks();
             serviceCores += m.serviceCpus();
         }
         for (Job job : scheduler.jobs.values()) {
-            waiting += job.pending.cardinality() * job.spec.cpus();
+            double pending = job.pending.cardinality() * job.spec.cpus();
+            waiting += job.spec.service() ? 0 : pending;
+            waitingServices += job.spec.service() ? pending : 0;
         }
-        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} fetching={} late_p99={} late_max={}",
-                baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting, fetching,
+        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} waiting_services={} load={} fetching={} late_p99={} late_max={}",
+                baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting, waitingServices, Math.round(rentals.load()), fetching,
                 lateness.getValueAtPercentile(99), lateness.getMaxValue());
         lateness.reset();
     }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -34,7 +34,7 @@
     private long lastNow;
     private Arrived arrived = new Arrived(0, 0, 0);
     /** By class of jobs: how the run times of finished tasks compare with the estimates. */
-    private final Map<String, Double> runRatio = new HashMap<>();
+    private final Map<String, RunTimes> runTimes = new HashMap<>();
 
     public final Map<String, Job> jobs = new LinkedHashMap<>();
     public final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -92,7 +92,8 @@
 
     /** The owner's estimate, corrected by how those of its class have been wrong so far. */
     public double expectedRunS(Job job) {
-        return Math.max(1, job.spec.estimateS()) * runRatio.getOrDefault(job.spec.jobClass(), 1.0);
+        RunTimes seen = runTimes.get(job.spec.jobClass());
+        return Math.max(1, job.spec.estimateS()) * (seen == null ? 1 : seen.ratio());
     }
 
     /** The abort is durable: nothing of the job may start from here on, and all of it goes. */
@@ -364,8 +365,7 @@
                 double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : job.spec.estimateS();
                 job.partialSize += ran;
                 if (p.runningAt > 0) {
-                    runRatio.merge(job.spec.jobClass(), ran / Math.max(1, job.spec.estimateS()),
-                            (old, newest) -> old + Constants.RUN_RATIO_WEIGHT * (newest - old));
+                    runTimes.computeIfAbsent(job.spec.jobClass(), k -> new RunTimes()).add(ran, Math.max(1, job.spec.estimateS()));
                 }
                 for (Job mover : Tyrex.movers(jobs.values())) {
                     mover.moved = true;
@@ -562,4 +562,19 @@
         job.moved = size < 0;
         job.partialSize = size < 0 ? -1 - size : size;
     }
+
+    /** Run times and estimates, each followed by itself: a mean of their ratios would count the tasks estimated too low for too much. */
+    private static final class RunTimes {
+        private double ran;
+        private double estimated;
+
+        void add(double ranS, double estimatedS) {
+            ran += Constants.RUN_RATIO_WEIGHT * (ranS - ran);
+            estimated += Constants.RUN_RATIO_WEIGHT * (estimatedS - estimated);
+        }
+
+        double ratio() {
+            return ran / estimated;
+        }
+    }
 }
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -58,7 +58,8 @@
         double ordinaryCores = 0;
         Map<String, Double> ordinary = new HashMap<>();
         for (Machine m : scheduler.machines.values()) {
-            if (m.returning || m.draining || m.faulty) {
+            boolean slow = !m.up && now - m.createdAt > Constants.SLOW_BOOT * 1000 * m.type.bootS();
+            if (m.returning || m.draining || m.faulty || slow) {
                 continue;
             }
             if (m.spot) {
@@ -89,7 +90,8 @@
             JobSpec array = demand.array.spec;
             double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
             if (!rent(rents, array, types, zones, true, spot, now)) {
-                rent(rents, array, types, zones, false, late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), now);
+                double missing = Math.min(late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), ordinaryLimit() - supply);
+                rent(rents, array, types, zones, false, missing, now);
             }
         }
         cordon(scheduler.machines.values(), spare, supply - Math.max(base, demand.arrayCores * Constants.BUSY_MARGIN));
@@ -109,6 +111,16 @@
         }
     }
 
+    /** Beyond this many cores spot machines work off a crowd soon enough; before anything is known there is no limit. */
+    private double ordinaryLimit() {
+        return arrays.perSecond() > 0 ? arrays.perSecond() * Constants.ORDINARY_LOAD : Double.MAX_VALUE;
+    }
+
+    /** Mean cores that the arriving arrays keep busy. */
+    public double load() {
+        return arrays.perSecond();
+    }
+
     /** The mean of many jobs is relied on more than that of a few. */
     private double headroom() {
         double jobs = arrayJobs.perSecond() * Constants.LOAD_WINDOW_S;
@@ -151,7 +163,7 @@
     /** Cores kept in a zone for services to come. */
     private double warm(double need, int zones) {
         double follows = services.perSecond() * Constants.WARM_S / zones;
-        return Math.max(operator.warmCores(), Math.min(follows, need * Constants.WARM_SHARE));
+        return Math.max(operator.warmCores(), Math.max(follows, need * Constants.WARM_SHARE));
     }
 
     /** Cores missing to have today's work done a while after new machines are up; sooner than that they can't help. */
