--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -141,7 +141,7 @@
         if (path.equals("/promise") && method.equals("POST")) {
             JsonNode body = Codec.read(bytes, true);
             long baton = body == null ? 0 : Codec.u64(body.path("baton"));
-            answer.accept(Answer.of(200, Codec.object().put("promised", membership.promise(baton))));
+            answer.accept(Answer.of(200, Codec.object().put("promised", membership.promise(baton)).put("reaches_state", membership.reachesState())));
             return;
         }
         if (path.equals("/jobs") && method.equals("POST")) {
@@ -158,7 +158,7 @@
     }
 
     private Answer ready() {
-        boolean ready = view.loaded() && !types.isEmpty() && membership.rosterStamp() != 0;
+        boolean ready = view.loaded() && !types.isEmpty() && membership.rosterStamp() != 0 && !membership.alone();
         return ready ? Answer.of(200, Codec.object().put("ready", true)) : Answer.later("starting");
     }
 
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -37,6 +37,7 @@
     private long promisedBaton;
     /** Until when this node has promised not to claim. */
     private long silentUntil;
+    private long aloneUntil;
     private boolean claiming;
     private long claimNotBefore;
     private int incarnation;
@@ -52,7 +53,7 @@
         this.rank = names.headSet(settings.node()).size();
         // An earlier self may have promised just before it ended.
         this.silentUntil = runtime.now() + possibly(Constants.PROMISE_MS);
-        askForPromises();
+        askOthers();
     }
 
     /** One process runs under a node's name at a time, so a member key found at the start is a dead self's: its hold is ended. */
@@ -179,14 +180,20 @@
 
     // ---- promises: how an owner goes on while the state service is away ----
 
-    /** Asks every other controller not to claim for a while; only if all of them promise does it count. */
-    private void askForPromises() {
-        long baton = baton();
-        if (baton != 0 && held && !settings.siblings().isEmpty() && runtime.now() - renewedAt > Constants.PROMISE_AFTER_MS) {
+    /**
+     * While renewals fail, asks every other controller whether it reaches the state service, and an owner asks them not to claim for
+     * a while: only if all of them promise does it count.
+     */
+    private void askOthers() {
+        if (held && !settings.siblings().isEmpty() && runtime.now() - renewedAt > Constants.PROMISE_AFTER_MS) {
+            long baton = baton();
             long sent = runtime.now();
             int[] missing = {settings.siblings().size()};
             for (Settings.Sibling s : settings.siblings()) {
                 runtime.call(new Call(s.addr(), "POST", "/promise", Codec.object().put("baton", baton), Constants.MESH_TIMEOUT_MS, true), r -> {
+                    if (r.ok() && r.body().path("reaches_state").asBoolean()) {
+                        aloneUntil = runtime.now() + Constants.ALONE_MS;
+                    }
                     if (r.ok() && r.body().path("promised").asBoolean() && --missing[0] == 0 && baton == baton()) {
                         promisedBaton = baton;
                         promisedUntil = sent + certainly(Constants.PROMISE_MS);
@@ -194,7 +201,17 @@
                 });
             }
         }
-        runtime.after(Constants.PROMISE_EVERY_MS, this::askForPromises);
+        runtime.after(Constants.PROMISE_EVERY_MS, this::askOthers);
+    }
+
+    /** This node can't reach the state service though another can: users are better served there. */
+    public boolean alone() {
+        return runtime.now() < aloneUntil && !reachesState();
+    }
+
+    /** Whether the state service answered lately. */
+    public boolean reachesState() {
+        return held && runtime.now() - renewedAt < Constants.PROMISE_AFTER_MS;
     }
 
     /**
@@ -205,7 +222,7 @@
         if (!view.loaded() || baton == 0 || rosterStamp() != baton || free()) {
             return false;
         }
-        if (held && runtime.now() - renewedAt < Constants.PROMISE_AFTER_MS) {
+        if (reachesState()) {
             return false; // the state service is there: the asker alone is cut off from it, and its work is better taken over
         }
         silentUntil = Math.max(silentUntil, runtime.now() + possibly(Constants.PROMISE_MS));
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -24,6 +24,8 @@
     public static final long PROMISE_AFTER_MS = 1_600;
     /** Milliseconds between two rounds of asking: several fit into one promise. */
     public static final long PROMISE_EVERY_MS = 700;
+    /** Milliseconds for which a node that can't reach the state service, while another can, leaves users to the others; renewed each round. */
+    public static final long ALONE_MS = 2_000;
     /** Milliseconds that nodes wait, by rank, before claiming a free leadership, so that claims rarely collide. */
     public static final long CLAIM_STEP_MS = 150;
     /** Milliseconds for which a controller that gave up its lead leaves it to others: they claim within a second. */
@@ -48,7 +50,7 @@
     /** Milliseconds for a call to the cloud. */
     public static final long CLOUD_TIMEOUT_MS = 5_000;
     /** Milliseconds for an order to a worker; after that its outcome is open. */
-    public static final long ORDER_TIMEOUT_MS = 1_200;
+    public static final long ORDER_TIMEOUT_MS = 1_000;
     /** Milliseconds for a question to another node; users wait 2 s for a poll. */
     public static final long MESH_TIMEOUT_MS = 700;
     /** Milliseconds for which an owner that left a question unanswered isn't asked: its record is read instead. */
@@ -69,6 +71,8 @@
     public static final long STATE_QUEUE_MS = 2_500;
 
     // ---- user interface ----
+    /** Milliseconds after which a connection without a request is closed: three or four reports or polls; lost machines don't hang up. */
+    public static final int IDLE_CONNECTION_MS = 20_000;
     /** Bytes of a request body, from the protocol. */
     public static final int BODY_BYTES = 64 * 1024;
     /** Seconds told in Retry-After: the shortest the protocol allows, since most refusals are brief. */
@@ -144,15 +148,15 @@
      * several times as long. */
     public static final long CUT_OFF_MS = 3_000;
     /** Milliseconds without any word from a machine after which it is returned; two questions fit in before. */
-    public static final long SILENT_MS = 3_500;
+    public static final long SILENT_MS = 3_000;
     /** Direct calls left unanswered in a row before silence counts. */
     public static final int UNANSWERED = 2;
     /** Milliseconds between direct calls to a machine that left one unanswered. */
-    public static final long DIRECT_PAUSE_MS = 400;
+    public static final long DIRECT_PAUSE_MS = 250;
     /** Share of machines that may be silent before silence is taken to be this node's own trouble. */
     public static final double SILENT_SHARE = 0.34;
     /** Milliseconds after takeover before silence counts: every machine is asked at once, twice and more. */
-    public static final long SILENT_GRACE_MS = 4_500;
+    public static final long SILENT_GRACE_MS = 3_000;
     /** Milliseconds a machine may be listed as running without a first report. */
     public static final long NEVER_REPORTED_MS = 20_000;
     /** Multiple of the usual boot time after which a machine that never reported is returned. */
@@ -181,8 +185,8 @@
     public static final double CATCH_UP_S = 40;
     /** The same before ordinary machines are rented for arrays that may use spot ones, which are refused. */
     public static final double CATCH_UP_ORDINARY_S = 40;
-    /** Multiple of the mean load up to which ordinary machines are rented for arrays when spot ones are refused. */
-    public static final double ORDINARY_LOAD = 2.0;
+    /** Multiple of the mean load, as far as it is relied on, up to which ordinary machines are rented for arrays when spot ones are refused. */
+    public static final double ORDINARY_LOAD = 1.7;
     /** Weight of the newest finished task in the ratio of run time to estimate: a few jobs of tens of tasks. */
     public static final double RUN_RATIO_WEIGHT = 0.005;
     /** Milliseconds during which a refused kind of machine isn't asked for again. */
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -129,6 +129,7 @@
         client.command(m.addr, scheduler.baton, tenure, orders, r -> {
             open--;
             answered(m, orders, tenure, r);
+            contactUnheard();
             if (!scheduler.ordersUrgent.isEmpty() || !scheduler.ordersDirty.isEmpty() || !scheduler.freed.isEmpty()) {
                 pump.run();
             }
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -84,7 +84,7 @@
             }
         }
         double supply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
-        double base = arrays.perSecond() * headroom();
+        double base = arrays.perSecond() * Constants.LOAD_HEADROOM * reliance();
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             JobSpec array = demand.array.spec;
@@ -113,7 +113,7 @@
 
     /** Beyond this many cores spot machines work off a crowd soon enough; before anything is known there is no limit. */
     private double ordinaryLimit() {
-        return arrays.perSecond() > 0 ? arrays.perSecond() * Constants.ORDINARY_LOAD : Double.MAX_VALUE;
+        return arrays.perSecond() > 0 ? arrays.perSecond() * Constants.ORDINARY_LOAD / reliance() : Double.MAX_VALUE;
     }
 
     /** Mean cores that the arriving arrays keep busy. */
@@ -121,10 +121,10 @@
         return arrays.perSecond();
     }
 
-    /** The mean of many jobs is relied on more than that of a few. */
-    private double headroom() {
+    /** How far the mean can be relied on, up to 1: that of many jobs more than that of a few. */
+    private double reliance() {
         double jobs = arrayJobs.perSecond() * Constants.LOAD_WINDOW_S;
-        return Constants.LOAD_HEADROOM * jobs / (jobs + Constants.LOAD_DOUBT_JOBS);
+        return jobs / (jobs + Constants.LOAD_DOUBT_JOBS);
     }
 
     /** Asks for so many cores, in several requests if need be; false if no kind can be had. */
--- a/src/main/java/org/hollypick/io/HttpServer.java
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -33,7 +33,7 @@
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) Constants.BODY_BYTES)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, Constants.IDLE_CONNECTION_MS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false)
