--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -205,6 +205,12 @@
     public static final double WARM_SHARE = 0.06;
     /** Multiple of the usual boot time after which a machine that isn't up no longer counts as room to come. */
     public static final double SLOW_BOOT = 1.6;
+    /** Room that a zone must have too much, as a multiple of the machines that are emptied: with less they would come and go. */
+    public static final double MOVE_MARGIN = 2;
+    /** Replicas that move in one plan at most, so that few are away at a time. */
+    public static final int MOVES_AT_ONCE = 4;
+    /** Milliseconds a replica runs before it may be moved. */
+    public static final long MOVE_AFTER_MS = 40_000;
     /** Records of machines that are shortened at once at most: users' writes must not wait behind them. */
     public static final int SHRINK_OPS = 3;
 }
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -102,6 +102,11 @@
             }
         }
         giveBack(plan.returns(), "idle");
+        plan.moves().forEach(p -> {
+            LOG.info("move task={} from={}", p.taskId, p.machine.id);
+            scheduler.stop(p, 0);
+        });
+        pump.run();
     }
 
     private void hire(Fleet.Kind kind, String name, int count) {
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -1,5 +1,6 @@
 package org.hollypick.core.fleet;
 
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -15,6 +16,7 @@
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.placement.Placer;
 
 /** Works out which machines to rent and which to give back. */
 public final class Fleet {
@@ -23,11 +25,14 @@
 
     public record Rent(Kind kind, int count) {}
 
-    public record Plan(List<Rent> rents, List<Machine> returns) {}
+    /** {@code moves}: replicas to stop, so that they start again on a machine that is kept. */
+    public record Plan(List<Rent> rents, List<Machine> returns, List<Placement> moves) {}
 
     private final OperatorSettings operator;
     /** Until when a kind isn't asked for, after the cloud refused it. */
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
+    /** Machines of each kind that count, those of the present plan included. */
+    private final Object2IntOpenHashMap<Kind> have = new Object2IntOpenHashMap<>();
     private long startedAt;
     private final Mean arrayJobs = new Mean(Constants.LOAD_WINDOW_S);
     private final Mean arrays = new Mean(Constants.LOAD_WINDOW_S);
@@ -57,11 +62,13 @@
         double spotCores = 0;
         double ordinaryCores = 0;
         Map<String, Double> ordinary = new HashMap<>();
+        have.clear();
         for (Machine m : scheduler.machines.values()) {
             boolean slow = !m.up && now - m.createdAt > Constants.SLOW_BOOT * 1000 * m.type.bootS();
             if (m.returning || m.draining || m.faulty || slow) {
                 continue;
             }
+            have.addTo(new Kind(m.type.name(), m.zone, m.spot), 1);
             if (m.spot) {
                 spotCores += m.type.cpus();
             } else {
@@ -94,8 +101,10 @@
                 rent(rents, array, types, zones, false, missing, now);
             }
         }
-        cordon(scheduler.machines.values(), spare, supply - Math.max(base, demand.arrayCores * Constants.BUSY_MARGIN));
-        return new Plan(rents, returns(scheduler.machines.values(), spare, supply - base, now));
+        Collection<Machine> machines = scheduler.machines.values();
+        double surplus = cordon(machines, spare, supply - Math.max(base, demand.arrayCores * Constants.BUSY_MARGIN));
+        List<Placement> moves = scheduler.settled() ? moves(machines, spare, surplus, now) : List.of();
+        return new Plan(rents, returns(machines, spare, supply - base, now), moves);
     }
 
     /** Means of what arrives. What was there when the term began, and the crowd at a start, say nothing about what follows. */
@@ -136,14 +145,15 @@
                 return false;
             }
             rents.add(rent);
+            have.addTo(rent.kind(), rent.count());
             left -= rent.count() * types.get(rent.kind().type()).cpus();
         }
         return true;
     }
 
     /** Marks machines that are more than what is needed, the emptiest first: arrays leave them alone while there are others, so that they
-     * empty and can be returned. */
-    private static void cordon(Collection<Machine> machines, Map<String, Double> spare, double surplus) {
+     * empty and can be returned. What is more than needed beyond them is the result. */
+    private static double cordon(Collection<Machine> machines, Map<String, Double> spare, double surplus) {
         Map<String, Double> zoneLeft = new HashMap<>(spare);
         double left = surplus;
         List<Machine> emptiest = new ArrayList<>(machines);
@@ -158,6 +168,43 @@
                 }
             }
         }
+        return left;
+    }
+
+    /**
+     * Services end one by one and leave every machine partly used, none empty. While there are more ordinary machines than needed those
+     * with the fewest replicas in a zone are emptied: each replica that has run for a while moves to a machine of the zone that
+     * has room and holds its image, so it is away for an exchange of orders only.
+     */
+    private static List<Placement> moves(Collection<Machine> machines, Map<String, Double> spare, double surplus, long now) {
+        List<Placement> moves = new ArrayList<>();
+        for (Map.Entry<String, Double> zone : spare.entrySet()) {
+            double left = Math.min(zone.getValue(), surplus) / Constants.MOVE_MARGIN;
+            List<Machine> emptiest = new ArrayList<>();
+            for (Machine m : machines) {
+                if (!m.spot && m.zone.equals(zone.getKey()) && (m.emptying || m.usable())) {
+                    emptiest.add(m);
+                }
+            }
+            emptiest.sort(Comparator.comparingDouble((Machine m) -> m.emptying ? 0 : 1).thenComparingDouble(Machine::serviceCpus));
+            for (Machine m : emptiest) {
+                left -= m.type.cpus(); // those that are empty already are on their way out
+                m.emptying = left >= 0 && m.serviceCpus() > 0;
+                if (m.emptying) {
+                    move(m, machines, moves, now);
+                }
+            }
+        }
+        return moves;
+    }
+
+    private static void move(Machine from, Collection<Machine> machines, List<Placement> moves, long now) {
+        for (Placement p : from.there()) {
+            if (moves.size() < Constants.MOVES_AT_ONCE && p.job.spec.service() && !p.stop && p.state() == Placement.State.RUNNING
+                    && now - p.runningAt > Constants.MOVE_AFTER_MS && Placer.canMove(p, machines, now)) {
+                moves.add(p);
+            }
+        }
     }
 
     /** Cores kept in a zone for services to come. */
@@ -216,7 +263,10 @@
         return room;
     }
 
-    /** The kind with the cheapest core that the job may use and the cloud didn't just refuse. */
+    /**
+     * The kind with the cheapest core that the job may use and the cloud didn't just refuse; of equal ones the one with the fewest
+     * machines, so that zones stay even: a zone can be lost, and services need room in each.
+     */
     private Rent pick(JobSpec job, Map<String, MachineType> types, List<String> zones, boolean spot, double cores, long now) {
         Kind best = null;
         double bestPrice = 0;
@@ -228,7 +278,8 @@
                 Kind kind = new Kind(t.name(), zone, spot);
                 double price = (spot ? t.spotPrice() : t.price()) / t.cpus();
                 if (t.zones().contains(zone) && (job.zone() == null || job.zone().equals(zone))
-                        && refusedUntil.getLong(kind) <= now && (best == null || price < bestPrice)) {
+                        && refusedUntil.getLong(kind) <= now && (best == null || price < bestPrice
+                                || price == bestPrice && have.getInt(kind) < have.getInt(best))) {
                     best = kind;
                     bestPrice = price;
                 }
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -44,6 +44,8 @@
     public int unanswered;
     /** More than is needed: arrays go elsewhere while they can. */
     public boolean surplus;
+    /** Its replicas move elsewhere, so that it can be returned; it gets nothing new. */
+    public boolean emptying;
     /** In the first Tyrex partition. */
     public boolean first;
     public boolean directBusy;
@@ -133,7 +135,7 @@
     }
 
     public boolean usable() {
-        return registered && heard && up && !draining && !returning && !faulty;
+        return registered && heard && up && !draining && !returning && !faulty && !emptying;
     }
 
     public boolean idle() {
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -39,6 +39,18 @@
         return takesTasks(m, now) && !m.failedJobs.contains(job.spec.id()) && allowed(job, m);
     }
 
+    /** Whether a replica could go on at once on another machine of its zone: one with room and its image, and none of its own job. */
+    public static boolean canMove(Placement p, Collection<Machine> machines, long now) {
+        Object2IntOpenHashMap<Machine> replicas = replicas(p.job);
+        for (Machine m : machines) {
+            if (m != p.machine && !m.spot && m.zone.equals(p.machine.zone) && takesTasks(m, now) && m.hasRoom(p.job.spec)
+                    && m.type.fits(p.job.spec) && m.images.containsKey(p.job.spec.image()) && replicas.getInt(m) == 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The best machine with room, or null. */
     public static Machine choose(Job job, Collection<Machine> machines, long now) {
         Machine best = null;
