A node cut off from the machines gives up its lead and returns none; services pack by share

Causes: silence was judged by the machines silent at one moment, so a node cut off from all returned them a few at a time, and it kept a lead that it couldn't use. Found by a new test in simulated time. Services spread by their cores whatever the fleet's size, so moved replicas went to the emptiest machine again; now by a machine's share of all services. The mean load is followed over 120 s. A slow plain model of a pass, compared on 3,000 drawn states, found that room freed by a preemption and a first-partition machine taken by a service weren't counted within the same pass.

--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -124,8 +124,8 @@
 
     /** Seconds of fetching that are worth keeping two replicas of one service apart. */
     public static final double REPLICA_APART = 5;
-    /** Seconds of fetching that are worth having one core less of services on a machine: it bounds what its loss takes. */
-    public static final double SERVICE_SPREAD = 0.15;
+    /** Seconds of fetching that are worth not having all services on one machine, in proportion to its share of them. */
+    public static final double SERVICE_SPREAD = 12;
 
     // ---- blame ----
     /** Failures on a machine, by different jobs, after which it is taken for faulty. */
@@ -153,8 +153,13 @@
     public static final int UNANSWERED = 2;
     /** Milliseconds between direct calls to a machine that left one unanswered. */
     public static final long DIRECT_PAUSE_MS = 250;
-    /** Share of machines that may be silent before silence is taken to be this node's own trouble. */
+    /** Milliseconds since its last word for which a machine counts as talking: more than the time until one with services is asked. */
+    public static final long TALKING_MS = 2_000;
+    /** Share of machines that may leave a question open, of those and the talking ones, before silence is taken for this node's own
+     * trouble: dozens that hang at once are a tenth, while a node that is cut off hears of none. */
     public static final double SILENT_SHARE = 0.34;
+    /** The same share from which on the node takes itself to be cut off, and another should lead: with a zone lost others fare no better. */
+    public static final double CUT_OFF_SHARE = 0.9;
     /** Milliseconds after takeover before silence counts: every machine is asked at once, twice and more. */
     public static final long SILENT_GRACE_MS = 3_000;
     /** Milliseconds a machine may be listed as running without a first report. */
@@ -168,11 +173,11 @@
     /** Milliseconds an idle ordinary machine is kept: it costs two and a half times a spot one. */
     public static final long IDLE_ORDINARY_MS = 15_000;
     /** Seconds over which the mean arriving work is followed: a few jobs' worth. */
-    public static final double LOAD_WINDOW_S = 240;
+    public static final double LOAD_WINDOW_S = 120;
     /** Room kept for arrays, as a multiple of the mean arriving work, when that is known well: it swings. */
-    public static final double LOAD_HEADROOM = 1.3;
+    public static final double LOAD_HEADROOM = 1.5;
     /** Jobs in the window at which the mean is half relied on: sizes vary by as much as their mean. */
-    public static final double LOAD_DOUBT_JOBS = 40;
+    public static final double LOAD_DOUBT_JOBS = 30;
     /** Milliseconds at a term's start whose arrivals aren't counted into the means. */
     public static final long CROWD_MS = 30_000;
     /** Multiple of the cores that arrays use or wait for beyond which room is more than needed. */
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -35,7 +35,7 @@
     private final long startedAt;
     /** Direct calls under way. */
     private int open;
-    /** Since when nearly all machines have been silent; 0 if they aren't. */
+    /** Since when nearly no machine has answered; 0 if some do. */
     private long cutOffSince;
 
     Workers(Runtime runtime, Settings settings, Scheduler scheduler, WorkerClient client, Map<String, MachineType> types,
@@ -179,30 +179,34 @@
         long usual = (long) (settings.reportS() * 1_250) + Constants.PROBE_SLACK_MS;
         long early = (long) (settings.reportS() * 1_000 * Constants.PROBE_SHARE);
         List<Machine> silent = new ArrayList<>();
-        int up = 0;
+        int talking = 0;
+        int doubtful = 0;
         for (Machine m : scheduler.machines.values()) {
             if (m.returning || !m.up && !m.registered) {
                 continue;
             }
-            up++;
             long quiet = now - m.lastReportAt;
+            talking += quiet < Constants.TALKING_MS ? 1 : 0;
+            doubtful += m.unanswered > 0 ? 1 : 0;
             if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED) {
                 silent.add(m);
             } else if (quiet > (m.unanswered > 0 || m.serviceCpus() > 0 ? early : usual) && open < Constants.DIRECT_OPEN) {
                 direct(m, true);
             }
         }
-        if (silent.size() <= Math.max(2, up * Constants.SILENT_SHARE)) {
+        // Those that left a question open against those heard of just now: counting only the silent ones would give them up one by one
+        // while this node is cut off from all of them.
+        double share = doubtful / (double) Math.max(1, doubtful + talking);
+        boolean ownTrouble = doubtful > 2 && share > Constants.SILENT_SHARE;
+        if (doubtful <= 2 || share < Constants.CUT_OFF_SHARE) {
             cutOffSince = 0;
-            return silent;
-        }
-        if (cutOffSince == 0) {
+        } else if (cutOffSince == 0) {
             cutOffSince = now;
         }
-        return List.of();
+        return ownTrouble ? List.of() : silent;
     }
 
-    /** So many machines have been silent for so long that another controller should try: this one is cut off from them. */
+    /** Nearly all machines have been silent for so long that another controller should try: this one is cut off from them. */
     boolean cutOff(long now) {
         return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS;
     }
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -21,6 +21,8 @@
     private List<Job> secondJobs = List.of();
     /** Machines of the first partition that hold nothing. */
     private int idleFirst;
+    /** Cores of all services, as of the last pass. */
+    private double allServices;
 
     Planner(Scheduler scheduler, double firstShare) {
         this.scheduler = scheduler;
@@ -47,12 +49,12 @@
         List<Machine> firstMachines = new ArrayList<>();
         List<Machine> secondMachines = new ArrayList<>();
         List<Machine> usable = new ArrayList<>();
+        allServices = 0;
         for (Machine m : scheduler.machines.values()) {
+            allServices += m.serviceCpus();
             if (Placer.takesTasks(m, now)) {
                 usable.add(m);
-                if (m.usedCpus < m.type.cpus()) {
-                    (m.first ? firstMachines : secondMachines).add(m);
-                }
+                (m.first ? firstMachines : secondMachines).add(m);
             }
         }
         for (Job job : secondJobs) {
@@ -94,12 +96,12 @@
      */
     private void placeService(Job job, List<Machine> machines, long now) {
         for (int i = next(job, 0, now); i >= 0; i = next(job, i + 1, now)) {
-            Placer.Choice choice = Placer.preempt(job, machines, now);
+            Placer.Choice choice = Placer.preempt(job, machines, allServices, now);
             if (choice == null) {
                 return;
             }
             choice.victims().forEach(v -> scheduler.stop(v, 0));
-            scheduler.start(job, i, choice.machine(), now);
+            start(job, i, choice.machine(), now);
         }
     }
 
@@ -118,14 +120,18 @@
             }
             // Each task makes the machine a better choice for the next one, until it is full: the image is there or on its
             // way, and arrays are packed.
-            idleFirst -= m.first && m.idle() ? 1 : 0;
             do {
-                scheduler.start(job, i, m, now);
+                start(job, i, m, now);
                 i = next(job, i + 1, now);
             } while (i >= 0 && m.hasRoom(job.spec) && Placer.allowed(job, m));
         }
     }
 
+    private void start(Job job, int index, Machine m, long now) {
+        idleFirst -= m.first && m.idle() ? 1 : 0;
+        scheduler.start(job, index, m, now);
+    }
+
     /** The next task that may start now, or -1. */
     private int next(Job job, int from, long now) {
         if (!job.waits() || !scheduler.withinLimit(job.spec)) {
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -51,14 +51,13 @@
         return false;
     }
 
-    /** The best machine with room, or null. */
+    /** The best machine with room for a task of an array, or null. */
     public static Machine choose(Job job, Collection<Machine> machines, long now) {
         Machine best = null;
         double bestScore = 0;
-        Object2IntOpenHashMap<Machine> replicas = replicas(job);
         for (Machine m : machines) {
             if (m.hasRoom(job.spec) && possible(job, m, now)) {
-                double score = score(job, m, replicas.getInt(m));
+                double score = arrayScore(job, m);
                 if (best == null || score > bestScore) {
                     best = m;
                     bestScore = score;
@@ -68,25 +67,30 @@
         return best;
     }
 
-    /** How many replicas of a service may be on each machine; of arrays nobody asks. */
+    /** How many replicas of a service may be on each machine. */
     private static Object2IntOpenHashMap<Machine> replicas(Job job) {
         Object2IntOpenHashMap<Machine> on = new Object2IntOpenHashMap<>();
-        if (job.spec.service()) {
-            job.live.values().forEach(p -> on.addTo(p.machine, 1));
-        }
+        job.live.values().forEach(p -> on.addTo(p.machine, 1));
         return on;
     }
 
-    /** Higher is better: the image's fetch time first, then the right kind, spread of services, tight packing of arrays. */
-    private static double score(Job job, Machine m, int replicas) {
-        JobSpec s = job.spec;
-        double fetch = m.images.containsKey(s.image()) ? 0 : s.imageGb() / m.type.fetchGbPerS() * (fetching(m, s.image()) ? 0.6 : 1 + 0.5 * fetches(m));
-        if (s.service()) {
-            // Replicas apart, and services even over machines by their number, not by their share of a larger machine:
-            // what is lost with one machine counts.
-            return -fetch - replicas * Constants.REPLICA_APART - (m.serviceCpus() - replicas * s.cpus()) * Constants.SERVICE_SPREAD;
-        }
-        return -fetch + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0) - (m.surplus ? Constants.SURPLUS_S : 0);
+    /** Higher is better: the image's fetch time first, then the right kind, tight packing. */
+    private static double arrayScore(Job job, Machine m) {
+        return -fetchS(job.spec, m) + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0) - (m.surplus ? Constants.SURPLUS_S : 0);
+    }
+
+    /**
+     * Higher is better: the image's fetch time first, then replicas apart, and no machine with a large share of all services: what is
+     * lost with it counts. Among very many machines no share is large, and services fill one after the other.
+     */
+    private static double serviceScore(Job job, Machine m, int replicas, double allServices) {
+        double share = (m.serviceCpus() - replicas * job.spec.cpus()) / Math.max(1, allServices);
+        return -fetchS(job.spec, m) - replicas * Constants.REPLICA_APART - share * Constants.SERVICE_SPREAD;
+    }
+
+    /** Seconds until the image is there, more if others are being fetched. */
+    private static double fetchS(JobSpec s, Machine m) {
+        return m.images.containsKey(s.image()) ? 0 : s.imageGb() / m.type.fetchGbPerS() * (fetching(m, s.image()) ? 0.6 : 1 + 0.5 * fetches(m));
     }
 
     private static boolean fetching(Machine m, String image) {
@@ -105,7 +109,7 @@
     }
 
     /** The best machine that has room or gets it by stopping work of lower priority, weighing what is lost; null if there is none. */
-    public static Choice preempt(Job job, Collection<Machine> machines, long now) {
+    public static Choice preempt(Job job, Collection<Machine> machines, double allServices, long now) {
         Machine best = null;
         List<Placement> bestVictims = List.of();
         double bestScore = 0;
@@ -114,7 +118,7 @@
             if (!possible(job, m, now)) {
                 continue;
             }
-            double score = score(job, m, replicas.getInt(m));
+            double score = serviceScore(job, m, replicas.getInt(m), allServices);
             if (best != null && score <= bestScore) {
                 continue; // what is lost only makes it worse
             }
--- /dev/null
+++ b/src/test/java/org/hollypick/CodecTest.java
@@ -0,0 +1,61 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
+import java.util.Random;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.io.Codec;
+import org.hollypick.worker.WorkerCodec;
+import org.junit.jupiter.api.Test;
+
+/** Reports are read as a stream: it must find what the plain way through a tree finds, and garbage must find nothing. */
+class CodecTest {
+    private static ObjectNode drawn(Random random) {
+        ObjectNode b = Codec.object().put("bothy", "n-" + random.nextInt(1_000)).put("tenure", random.nextInt(5)).put("tick", random.nextLong() >>> 1);
+        if (random.nextBoolean()) {
+            b.put("addr", "10.0.0.1:9000").put("flavour", "t").put("hall", "a").put("lendable", random.nextBoolean());
+        }
+        if (random.nextBoolean()) {
+            b.putNull("warning_s").set("new_field", Codec.object().put("x", 1).set("y", Codec.array().add(1).add("z")));
+        } else {
+            b.put("warning_s", random.nextDouble() * 20).put("baton", random.nextInt(100));
+        }
+        ArrayNode tasks = b.putArray("shards");
+        for (int i = random.nextInt(6); i > 0; i--) {
+            ObjectNode t = tasks.addObject().put("shard", "req-1/" + i).put("try", random.nextLong() >>> 1)
+                    .put("status", new String[] {"fetching", "running", "saving", "exited"}[random.nextInt(4)]);
+            if (random.nextBoolean()) {
+                t.put("cause", "done").put("saved", true);
+            }
+        }
+        return b;
+    }
+
+    @Test
+    void aStreamedReportIsWhatTheTreeSays() {
+        Random random = new Random(1);
+        for (int i = 0; i < 5_000; i++) {
+            ObjectNode b = drawn(random);
+            Report streamed = WorkerCodec.report(Codec.write(b, false));
+            assertEquals(WorkerCodec.report(b), streamed);
+        }
+    }
+
+    @Test
+    void brokenReportsAreNone() {
+        Random random = new Random(2);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = Codec.write(drawn(random), false);
+            byte[] cut = Arrays.copyOf(bytes, random.nextInt(bytes.length));
+            assertNull(WorkerCodec.report(cut));
+            bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+            WorkerCodec.report(bytes); // may still be a report, but never an exception
+        }
+        assertNull(WorkerCodec.report(Codec.write(Codec.object().put("bothy", "n-1"), false)));
+        assertNull(WorkerCodec.report(Codec.write(Codec.array(), false)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -0,0 +1,134 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.fleet.Fleet;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Placement.State;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.core.ledger.TaskReport;
+import org.junit.jupiter.api.Test;
+
+/** What is rented, returned and emptied; each test is a cause of waiting or waste that was found. */
+class FleetTest {
+    private static final MachineType TYPE = new MachineType("t", 16, 0, 64, 50, 1, 1, 0.4, 50, Set.of("a", "b"));
+    private static final Map<String, MachineType> TYPES = Map.of("t", TYPE);
+    private static final List<String> ZONES = List.of("a", "b");
+
+    private final Scheduler scheduler = new Scheduler(5, new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", ZONES, Map.of(), List.of(),
+            3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000), 0.3, 0);
+    private final Fleet fleet = new Fleet(OperatorSettings.defaults());
+    private int machines;
+
+    private Machine machine(String zone, boolean spot, long now) {
+        Machine m = scheduler.addMachine(String.format("n-%03d", machines++), TYPE, zone, spot, false, now);
+        m.registered = true;
+        m.images.put("img", now);
+        scheduler.report(m, new Report(m.id, "w:1", "t", zone, spot, 1, 1, 5, Double.NaN, List.of()), true, now);
+        return m;
+    }
+
+    private Job service(String id, int tasks, long now) {
+        return scheduler.addJob(new JobSpec(id, "web", "team", true, JobSpec.Rank.PRODUCTION, tasks, 1, 0, 1, null, null, false, true, false, "img", 1, 0,
+                0, 0, Double.NaN), machines, 5, now);
+    }
+
+    private Job array(String id, int tasks, long now) {
+        return scheduler.addJob(new JobSpec(id, "batch", "team", false, JobSpec.Rank.NORMAL, tasks, 2, 0, 1, null, null, false, false, true, "img", 1, 30,
+                0, 0, Double.NaN), machines, 5, now);
+    }
+
+    private static int rented(Fleet.Plan plan, String zone, boolean spot) {
+        return plan.rents().stream().filter(r -> r.kind().zone().equals(zone) && r.kind().spot() == spot).mapToInt(Fleet.Rent::count).sum();
+    }
+
+    private void allRun(long now) {
+        for (Machine m : scheduler.machines.values()) {
+            TaskReport[] tasks = m.placements.values().stream().map(p -> new TaskReport(p.taskId, p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
+            scheduler.report(m, new Report(m.id, "w:1", "t", m.zone, m.spot, 1, now, 5, Double.NaN, List.of(tasks)), true, now);
+        }
+    }
+
+    /** What waits was split evenly over the zones, though one held its half already: the other stayed short by half of it. */
+    @Test
+    void whatWaitsOfASpreadServiceIsNeededWhereItMayStillGo() {
+        machine("a", false, 0);
+        Job job = service("req-1", 32, 0);
+        scheduler.pass(0);
+        assertEquals(16, job.live.size());
+        Fleet.Plan plan = fleet.plan(scheduler, TYPES, ZONES, 1_000);
+        assertEquals(1, rented(plan, "a", false), "only room for services to come");
+        assertEquals(2, rented(plan, "b", false), "all sixteen that wait, and room for services to come");
+    }
+
+    /** Machines that boot for long counted as room to come, so a zone stayed short for as long as they took. */
+    @Test
+    void aMachineThatBootsForTooLongIsNoRoom() {
+        service("req-1", 8, 0);
+        scheduler.addMachine("n-a", TYPE, "a", false, false, 0);
+        scheduler.addMachine("n-b", TYPE, "b", false, false, 0);
+        assertTrue(fleet.plan(scheduler, TYPES, ZONES, 1_000).rents().isEmpty());
+        assertEquals(1, rented(fleet.plan(scheduler, TYPES, ZONES, 90_000), "a", false));
+    }
+
+    /** At equal prices one zone got all of them, and the other had no slack for services. */
+    @Test
+    void zonesAreKeptEvenAtEqualPrices() {
+        machine("a", true, 0);
+        array("req-1", 2_000, 0);
+        Fleet.Plan plan = fleet.plan(scheduler, TYPES, ZONES, 1_000);
+        assertTrue(rented(plan, "a", true) > 0 && rented(plan, "b", true) > 0, plan.rents().toString());
+        assertTrue(Math.abs(rented(plan, "a", true) - rented(plan, "b", true)) <= 50, plan.rents().toString());
+    }
+
+    /** All that waited at a term's start was taken for the usual load, and far too much was kept. */
+    @Test
+    void theCrowdAtAStartIsNotTheUsualLoad() {
+        array("req-1", 1_000, 0);
+        fleet.plan(scheduler, TYPES, ZONES, 1_000);
+        for (long now = 2_000; now < 60_000; now += 1_000) {
+            fleet.plan(scheduler, TYPES, ZONES, now);
+        }
+        assertEquals(0, fleet.load());
+        for (long now = 60_000; now < 400_000; now += 1_000) {
+            if (now % 10_000 == 0) {
+                array("req-" + now, 10, now);
+            }
+            fleet.plan(scheduler, TYPES, ZONES, now);
+        }
+        assertEquals(60, fleet.load(), 12, "one job of 600 core-seconds each 10 s");
+    }
+
+    /** Services end one by one: without moves all machines stay, each nearly empty. */
+    @Test
+    void replicasMoveOffTheEmptiestMachinesOnceTheyHaveRunForAWhile() {
+        for (int i = 0; i < 12; i++) {
+            machine(i % 2 == 0 ? "a" : "b", false, 0);
+            service("req-" + i, 2, 0);
+        }
+        scheduler.pass(0);
+        // Spread by hand: one replica a machine and more, as ends leave them.
+        allRun(1_000);
+        assertTrue(fleet.plan(scheduler, TYPES, ZONES, 10_000).moves().isEmpty(), "they have only just started");
+        Fleet.Plan plan = fleet.plan(scheduler, TYPES, ZONES, 100_000);
+        assertFalse(plan.moves().isEmpty());
+        plan.moves().forEach(p -> {
+            assertTrue(p.machine.emptying);
+            assertFalse(p.machine.usable(), "nothing new goes to a machine that is emptied");
+        });
+        // Without the image elsewhere a move would cost a fetch.
+        scheduler.machines.values().forEach(m -> m.images.clear());
+        assertTrue(fleet.plan(scheduler, TYPES, ZONES, 101_000).moves().isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/PlannerTest.java
@@ -0,0 +1,193 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.ledger.Placement.State;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.core.ledger.TaskReport;
+import org.junit.jupiter.api.Test;
+
+/** A slow plain model of one pass, task by task and with nothing kept between them, compared with the real one. */
+class PlannerTest {
+    private static final MachineType SMALL = new MachineType("s", 8, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a", "b"));
+    private static final MachineType LARGE = new MachineType("l", 16, 0, 128, 50, 0.5, 2, 0.9, 30, Set.of("a", "b"));
+
+    private static Scheduler world(long seed) {
+        Random random = new Random(seed);
+        Settings settings = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a", "b"),
+                Map.of("team", new Settings.Team("team", 0, random.nextBoolean() ? 0 : 60, 0, 0)), List.of(), 3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+        Scheduler scheduler = new Scheduler(5, settings, 0.3, 0);
+        int machines = 2 + random.nextInt(14);
+        for (int i = 0; i < machines; i++) {
+            Machine m = scheduler.addMachine("n-" + i, random.nextBoolean() ? SMALL : LARGE, random.nextBoolean() ? "a" : "b", random.nextBoolean(), false, 0);
+            m.registered = random.nextInt(10) > 0;
+            scheduler.report(m, report(m, 1), true, 0);
+            for (int k = 0; k < 3; k++) {
+                if (random.nextBoolean()) {
+                    m.images.put("img-" + k, 0);
+                }
+            }
+        }
+        // Two rounds, so that the second finds machines in use, jobs that moved and work that may be stopped.
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 3 + random.nextInt(6); i++) {
+                boolean service = random.nextInt(3) == 0;
+                JobSpec spec = new JobSpec("req-" + round + i, service ? "web" : "batch", "team", service,
+                        service ? JobSpec.Rank.PRODUCTION : random.nextBoolean() ? JobSpec.Rank.NORMAL : JobSpec.Rank.LOW, 1 + random.nextInt(12),
+                        1 + random.nextInt(3), 0, 2, null, random.nextInt(6) == 0 ? "a" : null, !service && random.nextInt(5) == 0, service,
+                        !service, "img-" + random.nextInt(3), 1 + random.nextInt(3), 10, 0, 0, Double.NaN);
+                Job job = scheduler.addJob(spec, round * 100 + i, 5, 0);
+                job.moved = !service && random.nextInt(3) == 0;
+            }
+            if (round == 0) {
+                scheduler.pass(10);
+                for (Machine m : scheduler.machines.values()) {
+                    scheduler.report(m, report(m, 2), true, 1_000 + random.nextInt(5_000));
+                }
+            }
+        }
+        return scheduler;
+    }
+
+    private static Report report(Machine m, long tick) {
+        TaskReport[] tasks = m.placements.values().stream().map(p -> new TaskReport(p.taskId, p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
+        return new Report(m.id, "w:1", m.type.name(), m.zone, m.spot, 1, tick, 5, Double.NaN, List.of(tasks));
+    }
+
+    @Test
+    void onePassDecidesWhatThePlainModelDecides() {
+        int started = 0;
+        for (long seed = 0; seed < 3_000; seed++) {
+            Scheduler real = world(seed);
+            Scheduler plain = world(seed);
+            real.pass(9_000);
+            // The partitions are the real pass's, or the model would have to repeat them.
+            real.machines.forEach((id, m) -> plain.machines.get(id).first = m.first);
+            plainPass(plain, 9_000);
+            Map<String, String> where = where(real);
+            assertEquals(where(plain), where, "seed " + seed);
+            started += where.size();
+        }
+        assertTrue(started > 30_000, "little was placed: " + started);
+    }
+
+    private static Map<String, String> where(Scheduler s) {
+        Map<String, String> where = new TreeMap<>();
+        s.machines.values().forEach(m -> m.placements.values().forEach(p -> where.put(p.taskId, m.id + (p.stop ? " stopped" : ""))));
+        return where;
+    }
+
+    private static void plainPass(Scheduler s, long now) {
+        Comparator<Job> order = Comparator.<Job, Integer>comparing(j -> j.spec.rank().ordinal()).thenComparing(j -> j.order);
+        for (boolean second : new boolean[] {true, false}) {
+            for (Job job : s.jobs.values().stream().filter(j -> j.second() == second).sorted(order).toList()) {
+                for (int i = 0; i < job.spec.tasks(); i++) {
+                    if (job.pending.get(i) && !(job.spec.service() ? service(s, job, i, now) : array(s, job, i, second, now))) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    private static List<Machine> possible(Scheduler s, Job job) {
+        if (!s.withinLimit(job.spec)) {
+            return List.of();
+        }
+        return s.machines.values().stream().filter(m -> {
+            long inZone = job.live.values().stream().filter(p -> p.machine.zone.equals(m.zone)).count();
+            return m.usable() && m.type.fits(job.spec) && (job.spec.zone() == null || job.spec.zone().equals(m.zone)) && (!m.spot || job.spec.spot())
+                    && (!job.spec.spread() || inZone + 1 <= (job.spec.tasks() + 1) / 2) && (!job.spec.oneZone() || inZone == job.live.size());
+        }).toList();
+    }
+
+    private static double fetch(JobSpec spec, Machine m) {
+        long starting = m.there().stream().filter(p -> p.state() == State.SENT || p.state() == State.FETCHING).count();
+        boolean same = m.there().stream().anyMatch(p -> p.state() == State.SENT && p.job.spec.image().equals(spec.image()));
+        return m.images.containsKey(spec.image()) ? 0 : spec.imageGb() / m.type.fetchGbPerS() * (same ? 0.6 : 1 + 0.5 * Math.min(4, starting));
+    }
+
+    private static boolean array(Scheduler s, Job job, int index, boolean second, long now) {
+        long idleFirst = s.machines.values().stream().filter(m -> m.first && m.usable() && m.idle()).count();
+        for (boolean own : new boolean[] {true, false}) {
+            Machine best = null;
+            double bestScore = 0;
+            for (Machine m : possible(s, job)) {
+                boolean lent = !second || idleFirst - (m.idle() ? 1 : 0) >= Constants.FIRST_KEEPS_FREE;
+                if (m.first == second == own || !m.hasRoom(job.spec) || !own && !lent) {
+                    continue;
+                }
+                double score = -fetch(job.spec, m) + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0);
+                if (best == null || score > bestScore) {
+                    best = m;
+                    bestScore = score;
+                }
+            }
+            if (best != null) {
+                s.start(job, index, best, now);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean service(Scheduler s, Job job, int index, long now) {
+        Machine best = null;
+        List<Placement> bestVictims = List.of();
+        double bestScore = 0;
+        double all = 0;
+        for (Machine m : s.machines.values()) {
+            // As of the pass's start: what this pass places itself doesn't count.
+            all += m.there().stream().filter(p -> p.job.spec.service() && p.startedAt < now).mapToDouble(p -> p.job.spec.cpus()).sum();
+        }
+        for (Machine m : possible(s, job)) {
+            List<Placement> lower = new ArrayList<>(m.there().stream().filter(p -> !p.stop && !(p.state() == State.SENT && p.launchMayFollow())
+                    && p.job.spec.rank().ordinal() > job.spec.rank().ordinal()).toList());
+            lower.sort(Comparator.<Placement, Integer>comparing(p -> -p.job.spec.rank().ordinal()).thenComparing(p -> -p.startedAt));
+            double room = m.type.cpus() - m.usedCpus;
+            double lost = 0;
+            List<Placement> victims = new ArrayList<>();
+            for (Placement p : lower) {
+                if (room + 1e-6 < job.spec.cpus()) {
+                    victims.add(p);
+                    room += p.job.spec.cpus();
+                    lost += p.state() == State.RUNNING ? (now - p.runningAt) / 1000.0 * p.job.spec.cpus() : 0;
+                }
+            }
+            if (room + 1e-6 < job.spec.cpus()) {
+                continue;
+            }
+            long mine = m.there().stream().filter(p -> p.job == job).count();
+            double others = m.there().stream().filter(p -> p.job != job && p.job.spec.service()).mapToDouble(p -> p.job.spec.cpus()).sum();
+            double score = -fetch(job.spec, m) - mine * Constants.REPLICA_APART - others / Math.max(1, all) * Constants.SERVICE_SPREAD
+                    - lost / Constants.LOST_PER_FETCH_S;
+            if (best == null || score > bestScore) {
+                best = m;
+                bestVictims = victims;
+                bestScore = score;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        bestVictims.forEach(p -> s.stop(p, 0));
+        s.start(job, index, best, now);
+        return true;
+    }
+}
--- a/src/test/java/org/hollypick/sim/CloudStandIn.java
+++ b/src/test/java/org/hollypick/sim/CloudStandIn.java
@@ -36,11 +36,11 @@
     private final Map<String, Integer> capacity = new LinkedHashMap<>();
     private int names;
 
-    CloudStandIn(World world, Checker checker, List<String> nodes, List<String> zones, long leaseMs) {
+    CloudStandIn(World world, Checker checker, List<String> nodes, List<String> zones, long leaseMs, int size) {
         this.world = world;
         for (String z : zones) {
-            capacity.put(z + true, 3);
-            capacity.put(z + false, 4);
+            capacity.put(z + true, 3 * size);
+            capacity.put(z + false, 4 * size);
         }
         this.boot = (name, h) -> {
             String addr = "w-" + name + ":9000";
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -68,16 +68,23 @@
     final Checker checker;
     final CloudStandIn cloud;
     private final List<Host> hosts = new ArrayList<>();
+    private final int size;
     private int jobs;
     private boolean lasting;
     private final Set<String> keep = new HashSet<>();
 
     Day(long seed) {
+        this(seed, 1);
+    }
+
+    /** {@code size}: how many times as many machines and tasks as usual. */
+    Day(long seed, int size) {
+        this.size = size;
         world = new World(seed);
         state = new StateStandIn(world);
-        checker = new Checker(TEAM_CPUS, 35_000);
+        checker = new Checker(TEAM_CPUS * size, 35_000);
         List<String> nodes = List.of("p0:1", "p1:1", "p2:1");
-        cloud = new CloudStandIn(world, checker, nodes, ZONES, LEASE_MS);
+        cloud = new CloudStandIn(world, checker, nodes, ZONES, LEASE_MS, size);
         world.listen("state:1", state);
         world.listen("cloud:1", cloud);
         for (int i = 0; i < 3; i++) {
@@ -109,7 +116,7 @@
         return 1 + (index - 1) * 0.0005;
     }
 
-    private static Settings settings(int index) {
+    private Settings settings(int index) {
         List<Settings.Sibling> siblings = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             if (i != index) {
@@ -117,7 +124,7 @@
             }
         }
         return new Settings("bothy-" + index, "a", "p" + index + ":1", "m" + index + ":1", siblings, "cloud:1", "state:1", ZONES,
-                Map.of("team", new Settings.Team("team", 20, TEAM_CPUS, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150, 60, 8192, 12, 8, 4, 1000);
+                Map.of("team", new Settings.Team("team", 20 * size, TEAM_CPUS * size, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150, 60, 8192, 12, 8, 4, 1000);
     }
 
     private void sweep() {
@@ -153,7 +160,7 @@
         }
         ObjectNode b = Codec.object().put("name_id", id).put("jobkind", service ? "web" : "batch").put("owner", "team")
                 .put("shape", service ? "standing" : "batch").put("rank", service ? "prod" : world.random.nextBoolean() ? "standard" : "low")
-                .put("shards", 1 + world.random.nextInt(6)).put("cores", 1.0 + world.random.nextInt(2)).put("gpus", 0.0).put("ram_gb", 2.0)
+                .put("shards", 1 + world.random.nextInt(6 * size)).put("cores", 1.0 + world.random.nextInt(2)).put("gpus", 0.0).put("ram_gb", 2.0)
                 .put("together", !service && world.random.nextInt(4) == 0).put("spread", service).put("lendable", !service)
                 .put("bundle", "img-" + world.random.nextInt(3)).put("pull_gb", 1.0).put("expect_s", service ? 0.0 : 4.0 + world.random.nextInt(15))
                 .put("bookmark_s", 0.0).put("stow_s", 0.0);
@@ -237,6 +244,25 @@
         hosts.forEach(h -> h.crash(4_000 + world.random.nextInt(4_000)));
     }
 
+    /** The number of the controller that the roster names. */
+    int leader() {
+        return Integer.parseInt(state.data("h/roster").path("leader").asText().substring("bothy-".length()));
+    }
+
+    int ready(int node) {
+        int[] status = {0};
+        hosts.get(node).request("GET", "/ready", null, r -> status[0] = r.status());
+        return status[0];
+    }
+
+    /** Nothing passes between a controller and the machines. */
+    void cutFromWorkers(int node, long ms) {
+        for (WorkerStandIn w : cloud.workers()) {
+            world.cut(w.name, "p" + node + ":1", ms);
+            world.cut("bothy-" + node, w.addr, ms);
+        }
+    }
+
     private void fault() {
         List<WorkerStandIn> workers = cloud.workers();
         WorkerStandIn w = workers.isEmpty() ? null : workers.get(world.random.nextInt(workers.size()));
--- a/src/test/java/org/hollypick/sim/RulesTest.java
+++ b/src/test/java/org/hollypick/sim/RulesTest.java
@@ -81,6 +81,59 @@
         assertEquals(List.of(), day.checker.broken);
     }
 
+    /** Hundreds of tasks on dozens of machines, so that records hold many machines and jobs, and come and go. */
+    @Test
+    void largeDaysWithFaultsKeepTheRules() {
+        for (int seed = 1; seed <= 12; seed++) {
+            Day day = new Day(seed, 12);
+            day.submitSome(40, 100_000);
+            day.drawFaults(14, 20_000, 150_000);
+            day.play(240_000);
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+            assertTrue(day.checker.starts > 500, "seed " + seed + " started " + day.checker.starts);
+        }
+    }
+
+    /** An owner that no machine reaches kept its lead, and the leases of all of them ran out. */
+    @Test
+    void anOwnerCutOffFromTheMachinesLeavesTheLeadToAnother() {
+        Day day = dayWithRunningServices();
+        int before = day.leader();
+        int lost = day.checker.lost;
+        day.cutFromWorkers(before, 40_000);
+        day.play(14_000);
+        assertTrue(day.leader() != before);
+        day.play(60_000);
+        assertEquals(lost, day.checker.lost);
+        assertEquals(List.of(), day.checker.broken);
+    }
+
+    /** An owner that alone can't reach the state service was promised the lead on and on, and took no new jobs. */
+    @Test
+    void anOwnerThatAloneCantReachTheStateServiceIsReplaced() {
+        Day day = dayWithRunningServices();
+        int before = day.leader();
+        day.world.cut("bothy-" + before, "state:1", 40_000);
+        day.play(8_000);
+        assertTrue(day.leader() != before);
+        assertEquals(503, day.ready(before), "users are better served by the others");
+        assertEquals(200, day.ready((before + 1) % 3));
+        day.play(60_000);
+        assertEquals(200, day.ready(before));
+        assertEquals(List.of(), day.checker.broken);
+    }
+
+    /** In an outage for all nobody is better off elsewhere. */
+    @Test
+    void inAnOutageAllStayReady() {
+        Day day = dayWithRunningServices();
+        day.state.outage(30_000);
+        day.play(12_000);
+        for (int node = 0; node < 3; node++) {
+            assertEquals(200, day.ready(node));
+        }
+    }
+
     /** Without the durable machine records a new owner doesn't wait for machines it can't reach. */
     @Test
     void theCheckerNoticesAnOwnerThatDoesNotWait() {
--- a/src/test/java/org/hollypick/sim/StateStandIn.java
+++ b/src/test/java/org/hollypick/sim/StateStandIn.java
@@ -41,6 +41,12 @@
         this.world = world;
     }
 
+    /** What is stored under a key; null without one. */
+    JsonNode data(String key) {
+        Entry e = keys.get(key);
+        return e == null ? null : e.data;
+    }
+
     void outage(long ms) {
         down = true;
         world.at(ms, () -> {
