--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -178,7 +178,9 @@
     public static final double LOAD_HEADROOM = 1.5;
     /** Jobs in the window at which the mean is half relied on: sizes vary by as much as their mean. */
     public static final double LOAD_DOUBT_JOBS = 30;
-    /** Milliseconds at a term's start whose arrivals aren't counted into the means. */
+    /** Seconds of watching before a mean says anything. */
+    public static final double MEAN_MIN_S = 5;
+    /** Milliseconds at the first term's start whose arrivals aren't counted into the means. */
     public static final long CROWD_MS = 30_000;
     /** Multiple of the cores that arrays use or wait for beyond which room is more than needed. */
     public static final double BUSY_MARGIN = 1.1;
@@ -206,8 +208,8 @@
     public static final double WARM_S = 25;
     /** Seconds over which arriving services are followed: short, so that the many at a start are soon forgotten. */
     public static final double SERVICE_WINDOW_S = 60;
-    /** Share of the cores of services that is kept besides, at least: machines that boot slowly or fail leave a zone short. */
-    public static final double WARM_SHARE = 0.06;
+    /** Share of the cores of services for which room is kept at least: a group of machines may be lost at once, and a boot takes long. */
+    public static final double WARM_SHARE = 0.10;
     /** Multiple of the usual boot time after which a machine that isn't up no longer counts as room to come. */
     public static final double SLOW_BOOT = 1.6;
     /** Room that a zone must have too much, as a multiple of the machines that are emptied: with less they would come and go. */
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -55,7 +55,7 @@
         this.types = types;
         this.acting = acting;
         this.pump = pump;
-        this.fleet = new Fleet(operator);
+        this.fleet = new Fleet(operator, nobodyBefore);
         this.nobodyBefore = nobodyBefore;
         this.startedAt = runtime.now();
     }
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -29,6 +29,7 @@
     public record Plan(List<Rent> rents, List<Machine> returns, List<Placement> moves) {}
 
     private final OperatorSettings operator;
+    private final long crowdMs;
     /** Until when a kind isn't asked for, after the cloud refused it. */
     private final Object2LongOpenHashMap<Kind> refusedUntil = new Object2LongOpenHashMap<>();
     /** Machines of each kind that count, those of the present plan included. */
@@ -38,8 +39,10 @@
     private final Mean arrays = new Mean(Constants.LOAD_WINDOW_S);
     private final Mean services = new Mean(Constants.SERVICE_WINDOW_S);
 
-    public Fleet(OperatorSettings operator) {
+    /** {@code firstTerm}: nobody owned anything before, so a crowd of users may be starting. */
+    public Fleet(OperatorSettings operator, boolean firstTerm) {
         this.operator = operator;
+        this.crowdMs = firstTerm ? Constants.CROWD_MS : 0;
     }
 
     public void refused(Kind kind, long now) {
@@ -113,7 +116,7 @@
         if (startedAt == 0) {
             startedAt = now;
         }
-        if (now - startedAt > Constants.CROWD_MS) {
+        if (now - startedAt > crowdMs) { // never the first time: that is what a term finds
             arrays.arrived(arrived.arrayWork(), now);
             arrayJobs.arrived(arrived.arrays(), now);
             services.arrived(arrived.serviceCores(), now);
--- a/src/main/java/org/hollypick/core/fleet/Mean.java
+++ b/src/main/java/org/hollypick/core/fleet/Mean.java
@@ -1,5 +1,7 @@
 package org.hollypick.core.fleet;
 
+import org.hollypick.config.Constants;
+
 /** Follows the mean of something that arrives, per second, forgetting it over a window. */
 final class Mean {
     private final double windowS;
@@ -7,6 +9,7 @@
     /** How much of the window has been seen; corrects the mean while it is young. */
     private double seen;
     private long at;
+    private double observedS;
 
     Mean(double windowS) {
         this.windowS = windowS;
@@ -15,6 +18,7 @@
     void arrived(double amount, long now) {
         if (at > 0) {
             double s = Math.max(0.001, (now - at) / 1000.0);
+            observedS += s;
             double weight = Math.min(1, s / windowS);
             seen += weight * (1 - seen);
             mean += weight * (amount / s - mean);
@@ -22,7 +26,8 @@
         at = now;
     }
 
+    /** 0 until it was watched for long enough to tell anything. */
     double perSecond() {
-        return seen > 0 ? mean / seen : 0;
+        return observedS >= Constants.MEAN_MIN_S ? mean / seen : 0;
     }
 }
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -28,7 +28,7 @@
 
     private final Scheduler scheduler = new Scheduler(5, new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", ZONES, Map.of(), List.of(),
             3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000), 0.3, 0);
-    private final Fleet fleet = new Fleet(OperatorSettings.defaults());
+    private final Fleet fleet = new Fleet(OperatorSettings.defaults(), true);
     private int machines;
 
     private Machine machine(String zone, boolean spot, long now) {
