A machine that went while its record was written gets no task

Found by reading: the answer to the write marked it as having room although it was no machine of ours any more; a task placed there would have waited for ever, since only known machines' leases are watched. Test in LedgerTest.

--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -217,10 +217,12 @@
         return settled;
     }
 
-    /** It is durable that the machine may hold tasks: from now on it may. */
+    /** It is durable that the machine may hold tasks: from now on it may, unless it went while that was written. */
     public void registered(Machine m) {
         m.registered = true;
-        freed.add(m);
+        if (machines.get(m.id) == m) {
+            freed.add(m);
+        }
     }
 
     // ---- reports ----
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -255,4 +255,17 @@
         assertFalse(m.faulty);
         assertFalse(n.faulty);
     }
+
+    /** A machine that went while its record was written got a task, which then waited for it for ever. */
+    @Test
+    void aMachineThatWentWhileItWasRegisteredGetsNothing() {
+        Machine m = machine("n-1", false);
+        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        scheduler.machineGone("n-1");
+        scheduler.registered(m);
+        assertFalse(scheduler.freed.contains(m));
+        Machine other = reporting();
+        scheduler.registered(other);
+        assertTrue(scheduler.freed.contains(other));
+    }
 }
