--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -13,7 +13,9 @@
 import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
+import org.hollypick.control.JobRecords;
 import org.hollypick.control.Term;
+import org.hollypick.core.Dependencies;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.ledger.Report;
 import org.hollypick.io.Answer;
@@ -37,12 +39,18 @@
     private final WorkerClient workers;
     private final View view;
     private final Membership membership;
+    private final Dependencies dependencies;
+    private final JobRecords jobs;
     private final UserApi users;
     /** Shared with the term; prices in it follow the cloud. */
     private final Map<String, MachineType> types = new HashMap<>();
     private Term term;
 
     public Node(Runtime runtime, Settings settings, OperatorSettings operator) {
+        this(runtime, settings, operator, new Dependencies());
+    }
+
+    Node(Runtime runtime, Settings settings, OperatorSettings operator, Dependencies dependencies) {
         this.runtime = runtime;
         this.settings = settings;
         this.operator = operator;
@@ -51,7 +59,9 @@
         this.workers = new WorkerClient(runtime);
         this.view = new View(runtime, state, Keys.PREFIX, this::recordsChanged);
         this.membership = new Membership(runtime, state, settings, view, this::leadership);
-        this.users = new UserApi(runtime, settings, state, view, membership, () -> term, () -> types.isEmpty() ? null : types);
+        this.dependencies = dependencies;
+        this.jobs = new JobRecords(runtime, settings, state, view, membership, dependencies);
+        this.users = new UserApi(runtime, settings, view, membership, jobs, dependencies, () -> term, () -> types.isEmpty() ? null : types);
     }
 
     public void start() {
@@ -74,9 +84,12 @@
     }
 
     private void recordsChanged(List<String> keys) {
+        jobs.follow(keys);
         leadership();
         if (term != null) {
             term.recordsChanged(keys);
+        } else {
+            dependencies.takeChanged(); // a term starts from the whole of them
         }
     }
 
@@ -97,7 +110,7 @@
                 return;
             }
             state.setOwner(true);
-            term = new Term(baton, runtime, settings, operator, view, state, cloud, workers, types, () -> membership.entitled(baton),
+            term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, () -> membership.entitled(baton),
                     () -> membership.fence(baton), membership::resign, membership.terms() == 1);
             term.start();
         }
--- a/src/main/java/org/hollypick/api/JobCodec.java
+++ b/src/main/java/org/hollypick/api/JobCodec.java
@@ -39,13 +39,7 @@
             case "standing" -> true;
             default -> throw new Invalid("shape");
         };
-        Rank rank = switch (text(b, "rank")) {
-            case "prod" -> Rank.PRODUCTION;
-            case "urgent" -> Rank.HIGH;
-            case "standard" -> Rank.NORMAL;
-            case "low" -> Rank.LOW;
-            default -> throw new Invalid("rank");
-        };
+        Rank rank = rank(b);
         JsonNode tasks = b.path("shards");
         if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.asInt() < 1 || tasks.asInt() > Constants.TASKS_MAX) {
             throw new Invalid("shards");
@@ -74,6 +68,35 @@
                 amount(b, "stow_s"), due);
     }
 
+    /** The jobs that have to be done before this one starts, each once. */
+    public static Set<String> awaits(JsonNode b) throws Invalid {
+        JsonNode list = b.path("awaits");
+        Set<String> ids = new LinkedHashSet<>();
+        if (absent(list)) {
+            return ids;
+        }
+        if (!list.isArray()) {
+            throw new Invalid("awaits");
+        }
+        for (JsonNode id : list) {
+            if (!id.isTextual() || !isId(id.asText())) {
+                throw new Invalid("awaits");
+            }
+            ids.add(id.asText());
+        }
+        return ids;
+    }
+
+    public static Rank rank(JsonNode b) throws Invalid {
+        return switch (text(b, "rank")) {
+            case "prod" -> Rank.PRODUCTION;
+            case "urgent" -> Rank.HIGH;
+            case "standard" -> Rank.NORMAL;
+            case "low" -> Rank.LOW;
+            default -> throw new Invalid("rank");
+        };
+    }
+
     public static ObjectNode write(JobSpec s) {
         ObjectNode b = Codec.object().put("name_id", s.id()).put("jobkind", s.jobClass()).put("owner", s.team())
                 .put("shape", s.service() ? "standing" : "batch")
--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hollypick.cluster.Keys;
@@ -15,8 +16,10 @@
 import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
+import org.hollypick.control.JobRecords;
 import org.hollypick.control.Records;
 import org.hollypick.control.Term;
+import org.hollypick.core.Dependencies;
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
@@ -24,15 +27,15 @@
 import org.hollypick.io.Call;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
-import org.hollypick.state.StateClient;
 
 /** What users ask, on any node. The owner answers from its own state, the others ask it or read the records. */
 public final class UserApi {
     private final Runtime runtime;
     private final Settings settings;
-    private final StateClient state;
     private final View view;
     private final Membership membership;
+    private final JobRecords records;
+    private final Dependencies dependencies;
     private final Supplier<Term> term;
     private final Supplier<Map<String, MachineType>> types;
     /** Until when the owner isn't asked, after it left a question unanswered. */
@@ -41,13 +44,14 @@
     private final Map<String, List<Consumer<Answer>>> polls = new LinkedHashMap<>();
     private boolean gathering;
 
-    public UserApi(Runtime runtime, Settings settings, StateClient state, View view, Membership membership, Supplier<Term> term,
-            Supplier<Map<String, MachineType>> types) {
+    public UserApi(Runtime runtime, Settings settings, View view, Membership membership, JobRecords records, Dependencies dependencies,
+            Supplier<Term> term, Supplier<Map<String, MachineType>> types) {
         this.runtime = runtime;
         this.settings = settings;
-        this.state = state;
         this.view = view;
         this.membership = membership;
+        this.records = records;
+        this.dependencies = dependencies;
         this.term = term;
         this.types = types;
     }
@@ -69,8 +73,10 @@
             return;
         }
         JobSpec spec;
+        Set<String> awaits;
         try {
             spec = JobCodec.read(body);
+            awaits = JobCodec.awaits(body);
         } catch (JobCodec.Invalid e) {
             unlessKnown(id, Answer.error(400, "missing or invalid: " + e.getMessage()), answer);
             return;
@@ -84,7 +90,49 @@
             unlessKnown(id, Answer.error(422, never), answer);
             return;
         }
-        create(spec, 2, answer);
+        if (known(awaits)) {
+            create(spec, awaits, answer);
+            return;
+        }
+        // A job that another node has just accepted may not be in this node's view yet.
+        view.fresh(fresh -> {
+            if (!fresh) {
+                answer.accept(Answer.later("state service"));
+            } else if (view.get(Keys.job(id)) != null) {
+                status(id, answer);
+            } else if (known(awaits)) {
+                create(spec, awaits, answer);
+            } else {
+                answer.accept(Answer.error(422, "awaits a job that was never accepted"));
+            }
+        });
+    }
+
+    private boolean known(Set<String> ids) {
+        for (String id : ids) {
+            if (view.get(Keys.job(id)) == null) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void create(JobSpec spec, Set<String> awaits, Consumer<Answer> answer) {
+        for (String id : awaits) {
+            if (Records.isService(view.get(Keys.job(id)).data())) {
+                unlessKnown(spec.id(), Answer.error(422, "awaits a service, which is never done"), answer);
+                return;
+            }
+        }
+        records.create(spec, awaits, outcome -> {
+            switch (outcome) {
+                // One that awaits what was cancelled is accepted, and over at once.
+                case CREATED -> answer.accept(Answer.of(201, body(spec.id(), dependencies.anyCancelled(awaits) ? Records.ABORTED : "pending", 0, 0)));
+                case KNOWN -> status(spec.id(), answer);
+                case TOO_LARGE -> unlessKnown(spec.id(), Answer.error(400, "larger than the state service can hold"), answer);
+                default -> answer.accept(Answer.later("busy"));
+            }
+        });
     }
 
     /** A refusal that is final is only given after a fresh read: a job that was accepted stays accepted. */
@@ -119,36 +167,6 @@
         return null;
     }
 
-    /** The record is conditional on the roster, so that a later owner knows that no earlier one can have started the job. */
-    private void create(JobSpec spec, int tries, Consumer<Answer> answer) {
-        long roster = membership.rosterStamp();
-        if (roster == 0 || state.crowded()) {
-            answer.accept(Answer.later("busy"));
-            return;
-        }
-        String key = Keys.job(spec.id());
-        StateClient.Txn txn = new StateClient.Txn().when(key, 0).when(Keys.ROSTER, roster).put(key, Records.live(spec, roster));
-        state.commit(txn, r -> {
-            if (r.ok()) {
-                answer.accept(Answer.of(201, body(spec.id(), "pending", 0, 0)));
-                return;
-            }
-            if (r.status() == 409) {
-                for (JsonNode failed : r.body().path("failed")) {
-                    if (failed.asText().equals(key)) {
-                        status(spec.id(), answer);
-                        return;
-                    }
-                }
-                if (tries > 1) {
-                    runtime.after(2 * Constants.WATCH_GAP_MS, () -> create(spec, tries - 1, answer));
-                    return;
-                }
-            }
-            answer.accept(Answer.later("state service"));
-        });
-    }
-
     // ---- polls ----
 
     public void status(String id, Consumer<Answer> answer) {
@@ -204,13 +222,22 @@
 
     /** What this node knows for certain: a terminal state, or a live job that it owns. Null if nothing. */
     private Answer certain(String id) {
-        View.Entry e = view.get(Keys.job(id));
-        if (e != null && Records.isOver(e.data())) {
-            return over(id, e.data());
+        Answer over = over(id);
+        if (over != null) {
+            return over;
         }
         Job job = owned(id);
         // While an end is in doubt it may be durable already, and another node may have told it: only the record knows.
-        return job == null || job.endsInDoubt > 0 ? null : live(job);
+        return job == null || term.get().inDoubt(job) ? null : live(job);
+    }
+
+    /** A terminal state that is durable; null without one. Nobody needs to write that a job is cancelled with one that it needs. */
+    private Answer over(String id) {
+        View.Entry e = view.get(Keys.job(id));
+        if (e != null && Records.isOver(e.data())) {
+            return Answer.of(200, body(id, Records.status(e.data()), e.data().path("done").asInt(), 0));
+        }
+        return e != null && dependencies.isCancelled(id) ? Answer.of(200, body(id, Records.ABORTED, 0, 0)) : null;
     }
 
     private Job owned(String id) {
@@ -235,15 +262,13 @@
     /** From this node's own copy of the records, once that is known to be fresh. */
     private void fromRecord(String id, Consumer<Answer> answer) {
         view.fresh(fresh -> {
-            View.Entry e = view.get(Keys.job(id));
+            Answer over = over(id);
             if (!fresh) {
                 answer.accept(Answer.later("state service"));
-            } else if (e == null) {
+            } else if (view.get(Keys.job(id)) == null) {
                 answer.accept(Answer.error(404, "no such job"));
-            } else if (Records.isOver(e.data())) {
-                answer.accept(over(id, e.data()));
             } else {
-                answer.accept(Answer.of(200, body(id, "pending", 0, 0)));
+                answer.accept(over != null ? over : Answer.of(200, body(id, "pending", 0, 0)));
             }
         });
     }
@@ -253,10 +278,6 @@
         return Answer.of(200, body(job.spec.id(), running > 0 ? "running" : "pending", job.done.cardinality(), running));
     }
 
-    private static Answer over(String id, JsonNode record) {
-        return Answer.of(200, body(id, record.path("status").asText(), record.path("done").asInt(), 0));
-    }
-
     private static ObjectNode body(String id, String status, int done, int running) {
         return Codec.object().put("name_id", id).put("status", status).put("done", done).put("running", running);
     }
@@ -268,9 +289,9 @@
             answer.accept(Answer.error(404, "no such job"));
             return;
         }
-        View.Entry e = view.get(Keys.job(id));
-        if (e != null && Records.isOver(e.data())) {
-            answer.accept(over(id, e.data()));
+        Answer over = over(id);
+        if (over != null) {
+            answer.accept(over);
             return;
         }
         Job job = owned(id);
@@ -296,11 +317,11 @@
     /** Only the owner aborts a live job; without it only what is over already, or never was, can be told. */
     private void withdrawn(String id, Consumer<Answer> answer) {
         view.fresh(fresh -> {
-            View.Entry e = view.get(Keys.job(id));
-            if (fresh && e == null) {
+            Answer over = over(id);
+            if (fresh && view.get(Keys.job(id)) == null) {
                 answer.accept(Answer.error(404, "no such job"));
-            } else if (fresh && Records.isOver(e.data())) {
-                answer.accept(over(id, e.data()));
+            } else if (fresh && over != null) {
+                answer.accept(over);
             } else {
                 answer.accept(Answer.later("no owner"));
             }
--- a/src/main/java/org/hollypick/cluster/Keys.java
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -11,6 +11,8 @@
     public static final String PROGRESS = "h/p/";
     public static final String MACHINES = "h/m/";
     public static final String SIZES = "h/s/";
+    /** Sorts behind the jobs: a read by pages that shows a job shows all that its record names here. */
+    private static final String AWAITED = "h/w/";
 
     private Keys() {}
 
@@ -31,6 +33,11 @@
         return MACHINES + node + "/" + Long.toUnsignedString(baton) + "/" + count;
     }
 
+    /** A key that is used once: what one job awaits, as far as its own record has no room for it. */
+    public static String awaited(String node, long member, long count) {
+        return AWAITED + node + "/" + Long.toUnsignedString(member) + "/" + count;
+    }
+
     public static String sizes(String node) {
         return SIZES + node;
     }
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -253,6 +253,11 @@
         return roster == null ? null : roster.data().path("leader").asText();
     }
 
+    /** The stamp of this incarnation's member key, which no other ever has; 0 while there is none. */
+    public long member() {
+        return memberStamp;
+    }
+
     /** How many terms there have been, the present one included. */
     public long terms() {
         View.Entry roster = view.get(Keys.ROSTER);
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -70,6 +70,11 @@
     /** Milliseconds a queued state request may wait for its turn; users give up after 5 s. */
     public static final long STATE_QUEUE_MS = 2_500;
 
+    /** Share of the state service's limit on a value that is used, by the bytes of compact JSON: it may count white space too. */
+    public static final double VALUE_SHARE = 0.875;
+    /** Times that a submission's record is tried: the roster may have changed since this node last heard of it. */
+    public static final int CREATE_TRIES = 2;
+
     // ---- user interface ----
     /** Milliseconds after which a connection without a request is closed: three or four reports or polls; lost machines don't hang up. */
     public static final int IDLE_CONNECTION_MS = 20_000;
@@ -79,8 +84,10 @@
     public static final int RETRY_AFTER_S = 1;
     /** Tasks of one job at most, from the protocol. */
     public static final int TASKS_MAX = 100_000;
-    /** Tasks in one part of a progress record: 4 KiB of bits is 5.5 KiB in base64, under the smallest value limit. */
+    /** Tasks in one part of a progress record at most: 4 KiB of bits is 5.5 KiB in base64. Smaller values hold smaller parts. */
     public static final int PROGRESS_CHUNK = 32_768;
+    /** Bytes around the bits of one part of a progress record: its name, quotes, colon, comma, base64's filling. */
+    public static final int PROGRESS_PART_BYTES = 56;
 
     // ---- loops ----
     /** Milliseconds between the owner's regular passes over machines and tasks. */
@@ -93,8 +100,6 @@
     public static final long REGISTER_GAP_MS = 200;
     /** Milliseconds between writes of progress: it holds up only the clearing of what is done. */
     public static final long PROGRESS_GAP_MS = 500;
-    /** Bytes of one machine in a durable record, with a third to spare: names, type, zone and address. */
-    public static final int MACHINE_RECORD_BYTES = 160;
     /** Milliseconds between looks at the cloud's machine list. */
     public static final long LIST_MS = 3_000;
     /** Milliseconds between refreshes of the machine types and their prices. */
--- a/src/main/java/org/hollypick/config/Settings.java
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -12,7 +12,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** The settings file that the platform hands over. Unknown fields are ignored. */
+/**
+ * The settings file that the platform hands over. Unknown fields are ignored. Where the state service's limits will tighten without
+ * notice ({@code state.next}), the tighter ones hold from the start: what is written under them stays writable.
+ */
 public record Settings(
         String node, String zone, String publicAddr, String meshAddr, List<Sibling> siblings,
         String cloud, String state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
@@ -67,8 +70,8 @@
                 address(root, "mesh_addr"), List.copyOf(siblings), address(services, "cloud"), address(services, "state"),
                 List.copyOf(zones), teams, List.copyOf(objectives),
                 positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "cancel_s"),
-                positive(state, "rps"), positive(state, "write_rps"), (int) (positive(state, "value_kb") * 1024),
-                (int) positive(state, "txn_ops"), positive(cloud, "rps"), positive(cloud, "list_lag_s"),
+                tightest(state, "rps"), tightest(state, "write_rps"), (int) (tightest(state, "value_kb") * 1024),
+                (int) tightest(state, "txn_ops"), positive(cloud, "rps"), positive(cloud, "list_lag_s"),
                 (int) positive(table(params, "resources"), "sockets"));
     }
 
@@ -112,6 +115,15 @@
         return v.asDouble();
     }
 
+    private static double tightest(JsonNode state, String field) {
+        JsonNode next = state.path("next");
+        if (!next.isMissingNode() && !next.isObject()) {
+            throw new ConfigException("next: not a table");
+        }
+        double now = positive(state, field);
+        return next.has(field) ? Math.min(now, positive(next, field)) : now;
+    }
+
     private static double positive(JsonNode at, String field) {
         JsonNode v = at.path(field);
         if (!v.isNumber() || !(v.asDouble() > 0)) {
--- /dev/null
+++ b/src/main/java/org/hollypick/control/JobRecords.java
@@ -0,0 +1,166 @@
+package org.hollypick.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hollypick.api.JobCodec;
+import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.Membership;
+import org.hollypick.cluster.View;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Dependencies;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.JobSpec.Rank;
+import org.hollypick.io.Runtime;
+import org.hollypick.state.StateClient;
+
+/** The durable records of jobs on any node: what they say of one another, and new ones. */
+public final class JobRecords {
+    /** What became of a submission. {@code TOO_LARGE}: no record can hold it. */
+    public enum Outcome { CREATED, KNOWN, TOO_LARGE, LATER }
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final StateClient state;
+    private final View view;
+    private final Membership membership;
+    private final Dependencies dependencies;
+    private long written;
+
+    public JobRecords(Runtime runtime, Settings settings, StateClient state, View view, Membership membership, Dependencies dependencies) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.state = state;
+        this.view = view;
+        this.membership = membership;
+        this.dependencies = dependencies;
+    }
+
+    /** Records changed in the view. */
+    public void follow(Collection<String> keys) {
+        for (String key : keys) {
+            View.Entry e = key.startsWith(Keys.JOB) ? view.get(key) : null;
+            if (e == null) {
+                continue;
+            }
+            String id = key.substring(Keys.JOB.length());
+            if (!Records.isOver(e.data())) {
+                dependencies.live(id, rank(e.data()), Records.awaits(e.data(), view));
+            } else if (Records.status(e.data()).equals(Records.DONE)) {
+                dependencies.done(id);
+            } else {
+                dependencies.cancelled(id);
+            }
+        }
+    }
+
+    private static Rank rank(JsonNode record) {
+        try {
+            return JobCodec.rank(record.path("spec"));
+        } catch (JobCodec.Invalid e) {
+            return Rank.LOW;
+        }
+    }
+
+    /** Makes an accepted job durable; everything that it awaits has a record already. */
+    public void create(JobSpec spec, Collection<String> awaits, Consumer<Outcome> then) {
+        List<String> open = open(awaits);
+        int room = Records.room(settings);
+        if (Records.bytes(Records.live(spec, Long.MAX_VALUE, open, null)) <= room) {
+            create(spec, open, null, Constants.CREATE_TRIES, then);
+            return;
+        }
+        Records.More more = new Records.More(Keys.awaited(settings.node(), membership.member(), written++), parts(open, room));
+        if (Records.bytes(Records.live(spec, Long.MAX_VALUE, List.of(), more)) > room) {
+            then.accept(Outcome.TOO_LARGE);
+        } else {
+            writeParts(spec, more, 0, then);
+        }
+    }
+
+    /** What still has to be done of those. What is done never becomes undone, and one that is cancelled decides. */
+    private List<String> open(Collection<String> awaits) {
+        List<String> open = new ArrayList<>();
+        for (String id : awaits) {
+            if (dependencies.isCancelled(id)) {
+                return List.of(id);
+            }
+            if (!dependencies.isDone(id)) {
+                open.add(id);
+            }
+        }
+        return open;
+    }
+
+    private static List<List<String>> parts(List<String> ids, int room) {
+        List<List<String>> parts = new ArrayList<>();
+        int left = 0;
+        for (String id : ids) {
+            int bytes = id.length() + 3; // quotes and comma
+            if (left < bytes) {
+                parts.add(new ArrayList<>());
+                left = room - Records.bytes(Records.part(List.of()));
+            }
+            parts.get(parts.size() - 1).add(id);
+            left -= bytes;
+        }
+        return parts;
+    }
+
+    /** The parts go first, under keys that nobody ever used; the job's own record names them, and it alone makes the job exist. */
+    private void writeParts(JobSpec spec, Records.More more, int from, Consumer<Outcome> then) {
+        if (from >= more.parts().size()) {
+            create(spec, List.of(), more, Constants.CREATE_TRIES, then);
+            return;
+        }
+        if (state.crowded()) {
+            then.accept(Outcome.LATER);
+            return;
+        }
+        StateClient.Txn txn = new StateClient.Txn();
+        int to = Math.min(more.parts().size(), from + settings.txnOps());
+        for (int i = from; i < to; i++) {
+            txn.when(more.key(i), 0).put(more.key(i), Records.part(more.parts().get(i)));
+        }
+        state.commit(txn, r -> {
+            if (r.ok()) {
+                writeParts(spec, more, to, then);
+            } else {
+                then.accept(Outcome.LATER);
+            }
+        });
+    }
+
+    /** The record is conditional on the roster, so that a later owner knows that no earlier one can have started the job. */
+    private void create(JobSpec spec, List<String> awaits, Records.More more, int tries, Consumer<Outcome> then) {
+        long roster = membership.rosterStamp();
+        if (roster == 0 || state.crowded()) {
+            then.accept(Outcome.LATER);
+            return;
+        }
+        String key = Keys.job(spec.id());
+        StateClient.Txn txn = new StateClient.Txn().when(key, 0).when(Keys.ROSTER, roster).put(key, Records.live(spec, roster, awaits, more));
+        state.commit(txn, r -> {
+            if (r.ok()) {
+                then.accept(Outcome.CREATED);
+                return;
+            }
+            if (r.status() == 409) {
+                for (JsonNode failed : r.body().path("failed")) {
+                    if (failed.asText().equals(key)) {
+                        then.accept(Outcome.KNOWN);
+                        return;
+                    }
+                }
+                if (tries > 1) {
+                    runtime.after(2 * Constants.WATCH_GAP_MS, () -> create(spec, awaits, more, tries - 1, then));
+                    return;
+                }
+            }
+            then.accept(Outcome.LATER);
+        });
+    }
+}
--- a/src/main/java/org/hollypick/control/Progress.java
+++ b/src/main/java/org/hollypick/control/Progress.java
@@ -24,6 +24,8 @@
 /**
  * Which tasks of the live jobs are done, durably: many jobs to a record, since changes per second are scarce. Each write is
  * conditional on the record that it replaces, so one that is applied late can't take progress back that was relied on since.
+ * A record that is too large to be written again, since the limits have tightened, loses its parts to others one by one: a part is
+ * taken out only when the other record is durable, and a reader takes in whatever any record says.
  */
 final class Progress {
     private final Runtime runtime;
@@ -31,6 +33,9 @@
     private final StateClient state;
     private final Settings settings;
     private final Scheduler scheduler;
+    private final int room;
+    /** Tasks in one part. */
+    private final int chunk;
     private final List<Slot> slots = new ArrayList<>();
     /** Where each job's chunks are kept. */
     private final Map<String, Slot> places = new HashMap<>();
@@ -51,24 +56,19 @@
         }
 
         private int bytes() {
-            return parts.values().stream().mapToInt(Part::bytes).sum();
+            return parts.values().stream().filter(p -> p.job.status == Job.Status.LIVE).mapToInt(Part::bytes).sum();
         }
     }
 
-    /** The tasks of one job from {@code chunk * PROGRESS_CHUNK} on. */
-    private record Part(Job job, int chunk) {
+    /** The tasks of one job from {@code from} up to {@code to}. */
+    private record Part(Job job, String name, int from, int to) {
         /** Bits in base64, its name and what is around it. */
         private int bytes() {
-            return Math.min(job.spec.tasks() - chunk * Constants.PROGRESS_CHUNK, Constants.PROGRESS_CHUNK) / 6 + 48;
-        }
-
-        private String name() {
-            return job.spec.id() + "/" + chunk;
+            return (to - from) / 6 + Constants.PROGRESS_PART_BYTES;
         }
 
         private BitSet of(BitSet tasks) {
-            int from = chunk * Constants.PROGRESS_CHUNK;
-            return tasks.get(from, from + Constants.PROGRESS_CHUNK);
+            return tasks.get(from, to);
         }
     }
 
@@ -78,6 +78,30 @@
         this.state = state;
         this.settings = settings;
         this.scheduler = scheduler;
+        this.room = Records.room(settings);
+        this.chunk = Math.min(Constants.PROGRESS_CHUNK, (room - Constants.PROGRESS_PART_BYTES) * 6);
+    }
+
+    /**
+     * A job's parts. The first of all is named as it always was; one that starts elsewhere than at a multiple of the largest part says
+     * where, by a name that readers who don't know of it take for no job's.
+     */
+    private Part part(Job job, int from) {
+        String id = job.spec.id();
+        boolean even = chunk == Constants.PROGRESS_CHUNK || job.spec.tasks() <= chunk;
+        return new Part(job, even ? id + "/" + from / Constants.PROGRESS_CHUNK : id + "@" + from + "/0", from, Math.min(job.spec.tasks(), from + chunk));
+    }
+
+    /** The part that a record names; null if its job isn't live. */
+    private Part part(String name) {
+        int slash = name.lastIndexOf('/');
+        int at = name.indexOf('@');
+        Job job = scheduler.jobs.get(name.substring(0, at < 0 ? slash : at));
+        if (job == null) {
+            return null;
+        }
+        int from = at < 0 ? Integer.parseInt(name.substring(slash + 1)) * Constants.PROGRESS_CHUNK : Integer.parseInt(name.substring(at + 1, slash));
+        return new Part(job, name, from, Math.min(job.spec.tasks(), from + Constants.PROGRESS_CHUNK));
     }
 
     /** What earlier owners recorded about the jobs that are live. */
@@ -89,11 +113,9 @@
             Slot slot = new Slot(key, e.stamp());
             slots.add(slot);
             e.data().fields().forEachRemaining(f -> {
-                int slash = f.getKey().lastIndexOf('/');
-                Job job = scheduler.jobs.get(f.getKey().substring(0, slash));
-                if (job != null) {
-                    Part part = new Part(job, Integer.parseInt(f.getKey().substring(slash + 1)));
-                    restore(job, part, f.getValue());
+                Part part = part(f.getKey());
+                if (part != null) {
+                    restore(part, f.getValue());
                     slot.parts.put(part.name(), part);
                     places.put(part.name(), slot);
                 }
@@ -101,9 +123,9 @@
         });
     }
 
-    private static void restore(Job job, Part part, JsonNode bits) {
-        int from = part.chunk * Constants.PROGRESS_CHUNK;
-        Records.bits(bits).stream().forEach(i -> job.done.set(from + i));
+    private static void restore(Part part, JsonNode bits) {
+        Job job = part.job;
+        Records.bits(bits).stream().forEach(i -> job.done.set(part.from + i));
         job.committed = (BitSet) job.done.clone();
         job.pending.andNot(job.done);
     }
@@ -114,27 +136,28 @@
             return;
         }
         Set<Slot> dirty = new LinkedHashSet<>();
-        Map<Job, BitSet> included = new LinkedHashMap<>();
-        int bytes = 0;
+        List<Written> included = new ArrayList<>();
         for (Job job : new ArrayList<>(scheduler.progressDirty)) {
-            if (job.status != Job.Status.LIVE || job.closing || job.finished()) {
+            if (job.status != Job.Status.LIVE) {
+                scheduler.progressDirty.remove(job);
+                continue;
+            }
+            if (job.closing || job.finished()) {
                 continue; // its end is written instead
             }
-            boolean fits = true;
+            boolean all = true;
             for (Part part : changed(job)) {
                 Slot slot = place(part);
-                if (!dirty.contains(slot)) {
-                    int more = settings.valueBytes();
-                    fits &= !slot.doubtful && dirty.size() < settings.txnOps() && bytes + more <= Constants.BODY_BYTES * 3 / 4;
-                    if (fits) {
-                        dirty.add(slot);
-                        bytes += more;
-                    }
+                boolean fits = dirty.contains(slot) || !slot.doubtful && dirty.size() < settings.txnOps()
+                        && (dirty.size() + 1) * settings.valueBytes() <= Constants.BODY_BYTES * 3 / 4;
+                if (fits) {
+                    dirty.add(slot);
+                    included.add(new Written(part, part.of(job.done)));
                 }
+                all &= fits;
             }
-            if (fits) {
+            if (all) {
                 scheduler.progressDirty.remove(job);
-                included.put(job, (BitSet) job.done.clone());
             }
         }
         lookUpDoubtful();
@@ -144,7 +167,10 @@
         write(dirty, included);
     }
 
-    private void write(Set<Slot> dirty, Map<Job, BitSet> included) {
+    /** What a write says of a part. */
+    private record Written(Part part, BitSet done) {}
+
+    private void write(Set<Slot> dirty, List<Written> included) {
         StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, scheduler.baton);
         for (Slot slot : dirty) {
             slot.parts.values().removeIf(part -> {
@@ -164,22 +190,36 @@
             writing = false;
             if (r.ok()) {
                 long stamp = Codec.u64(r.body().path("epoch"));
-                dirty.forEach(slot -> slot.stamp = stamp);
-                included.forEach((job, bits) -> {
-                    job.committed.or(bits);
-                    scheduler.progressCommitted(job);
+                dirty.forEach(slot -> {
+                    slot.stamp = stamp;
+                    slot.parts.keySet().forEach(name -> leave(name, slot));
+                });
+                included.forEach(w -> {
+                    w.done.stream().forEach(i -> w.part.job.committed.set(w.part.from + i));
+                    scheduler.progressCommitted(w.part.job);
                 });
             } else {
                 dirty.forEach(slot -> slot.doubtful |= r.status() != Reply.NOT_SENT);
-                scheduler.progressDirty.addAll(included.keySet());
+                included.forEach(w -> scheduler.progressDirty.add(w.part.job));
             }
         });
     }
 
-    private static List<Part> changed(Job job) {
+    /** The part is durable where it belongs now, so other records may do without it. */
+    private void leave(String name, Slot home) {
+        if (places.get(name) == home) {
+            slots.forEach(s -> {
+                if (s != home) {
+                    s.parts.remove(name);
+                }
+            });
+        }
+    }
+
+    private List<Part> changed(Job job) {
         List<Part> changed = new ArrayList<>();
-        for (int chunk = 0; chunk < Records.chunks(job.spec.tasks()); chunk++) {
-            Part part = new Part(job, chunk);
+        for (int from = 0; from < job.spec.tasks(); from += chunk) {
+            Part part = part(job, from);
             if (!part.of(job.done).equals(part.of(job.committed))) {
                 changed.add(part);
             }
@@ -190,9 +230,10 @@
     /** The record that holds a part; one with room for it if it's new. */
     private Slot place(Part part) {
         Slot slot = places.get(part.name());
-        if (slot == null) {
+        if (slot == null || slot.bytes() > room) {
+            slot = null;
             for (Slot s : slots) {
-                if (slot == null && s.bytes() + part.bytes() <= settings.valueBytes()) {
+                if (slot == null && s.bytes() + part.bytes() <= room) {
                     slot = s;
                 }
             }
--- a/src/main/java/org/hollypick/control/Records.java
+++ b/src/main/java/org/hollypick/control/Records.java
@@ -1,12 +1,17 @@
 package org.hollypick.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.Collection;
+import java.util.List;
 import org.hollypick.api.JobCodec;
+import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
-import org.hollypick.core.Job;
+import org.hollypick.config.Settings;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.io.Codec;
@@ -15,30 +20,97 @@
 public final class Records {
     public static final String DONE = "done";
     public static final String ABORTED = "aborted";
+    private static final String AWAITS = "awaits";
+    private static final String MORE = "awaits_in";
 
     private Records() {}
 
-    public static ObjectNode live(JobSpec spec, long rosterStamp) {
+    /** Bytes that a value may have, by this program's count. */
+    public static int room(Settings settings) {
+        return (int) (settings.valueBytes() * Constants.VALUE_SHARE);
+    }
+
+    public static int bytes(JsonNode value) {
+        return Codec.write(value, true).length;
+    }
+
+    // ---- jobs ----
+
+    /** Further records of what a job awaits, by their keys' common beginning. */
+    public record More(String key, List<List<String>> parts) {
+        public String key(int part) {
+            return partKey(key, part);
+        }
+    }
+
+    /** {@code more}: null if the job's own record holds everything that it awaits. */
+    public static ObjectNode live(JobSpec spec, long rosterStamp, Collection<String> awaits, More more) {
         ObjectNode record = Codec.object().put("under", rosterStamp);
         record.set("spec", JobCodec.write(spec));
+        if (!awaits.isEmpty()) {
+            record.set(AWAITS, awaited(awaits));
+        }
+        if (more != null) {
+            record.putObject(MORE).put("key", more.key).put("parts", more.parts.size());
+        }
         return record;
     }
 
+    private static String partKey(String key, int part) {
+        return key + "/" + part;
+    }
+
+    private static ArrayNode awaited(Collection<String> ids) {
+        ArrayNode list = Codec.array();
+        ids.forEach(list::add);
+        return list;
+    }
+
+    /** All that a live job awaits. Of a part that isn't there the key stands in: no such job is ever done, so nothing starts. */
+    public static List<String> awaits(JsonNode record, View view) {
+        List<String> ids = new ArrayList<>();
+        record.path(AWAITS).forEach(id -> ids.add(id.asText()));
+        JsonNode more = record.path(MORE);
+        for (int i = 0; i < more.path("parts").asInt(); i++) {
+            String key = partKey(more.path("key").asText(), i);
+            View.Entry part = view.get(key);
+            if (part == null) {
+                ids.add(key);
+            } else {
+                part.data().path(AWAITS).forEach(id -> ids.add(id.asText()));
+            }
+        }
+        return ids;
+    }
+
+    /** One further record of what a job awaits. */
+    public static ObjectNode part(Collection<String> ids) {
+        ObjectNode part = Codec.object();
+        part.set(AWAITS, awaited(ids));
+        return part;
+    }
+
     /** A job that is over keeps only what users may ask. */
-    public static ObjectNode over(Job job, String status) {
-        return Codec.object().put("status", status).put("done", job.done.cardinality());
+    public static ObjectNode over(String status, int done) {
+        return Codec.object().put("status", status).put("done", done);
     }
 
     public static boolean isOver(JsonNode record) {
         return record.has("status");
     }
 
-    public static JsonNode machine(Machine m) {
-        return Codec.object().put("type", m.type.name()).put("zone", m.zone).put("spot", m.spot).put("addr", m.addr);
+    public static String status(JsonNode record) {
+        return record.path("status").asText();
     }
 
-    public static int chunks(int tasks) {
-        return (tasks + Constants.PROGRESS_CHUNK - 1) / Constants.PROGRESS_CHUNK;
+    public static boolean isService(JsonNode record) {
+        return record.path("spec").path("shape").asText().equals("standing");
+    }
+
+    // ---- machines and progress ----
+
+    public static JsonNode machine(Machine m) {
+        return Codec.object().put("type", m.type.name()).put("zone", m.zone).put("spot", m.spot).put("addr", m.addr);
     }
 
     public static String text(BitSet bits) {
--- a/src/main/java/org/hollypick/control/Registry.java
+++ b/src/main/java/org/hollypick/control/Registry.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,13 +22,18 @@
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
 import org.hollypick.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The durable list of machines, many to a record, since changes per second are scarce. A record is created once, under a key that
  * was never used, and then only shrinks; each write is conditional on the value that it was made from. So a write that is
- * applied late can neither bring a machine back nor take one out that was added since.
+ * applied late can neither bring a machine back nor take one out that was added since. A record that is too large to be written
+ * again, since the limits have tightened, is dropped once its machines are named in others.
  */
 final class Registry {
+    private static final Logger LOG = LoggerFactory.getLogger(Registry.class);
+
     private final Runtime runtime;
     private final View view;
     private final StateClient state;
@@ -36,7 +42,9 @@
     private final Predicate<String> gone;
     /** The records that name a machine. */
     private final Map<String, Set<String>> keysOf = new HashMap<>();
-    private final Set<Machine> wanted = new LinkedHashSet<>();
+    private final Map<String, Machine> wanted = new LinkedHashMap<>();
+    /** Machines that need another record, since one that names them can't be written again; and what it says of them. */
+    private final Map<String, JsonNode> copies = new LinkedHashMap<>();
     private final Set<String> unwanted = new LinkedHashSet<>();
     private long written;
     private boolean writing;
@@ -95,34 +103,32 @@
     }
 
     void add(Machine m) {
-        wanted.add(m);
+        wanted.put(m.id, m);
     }
 
     /** The machine is certainly gone. */
     void drop(String id) {
-        wanted.removeIf(m -> m.id.equals(id));
+        wanted.remove(id);
+        copies.remove(id);
         unwanted.add(id);
     }
 
     /** Writes what is wanted, one transaction at a time; {@code registered} hears of the machines that are durable now. */
     void flush(Consumer<List<Machine>> registered) {
-        if (writing || wanted.isEmpty() && unwanted.isEmpty() || runtime.now() < notBefore) {
+        if (writing || wanted.isEmpty() && copies.isEmpty() && unwanted.isEmpty() || runtime.now() < notBefore) {
             return;
         }
         StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton);
-        List<Machine> adding = new ArrayList<>();
-        String fresh = wanted.isEmpty() ? null : Keys.machines(settings.node(), baton, written++);
-        if (fresh != null) {
-            ObjectNode record = Codec.object();
-            int room = settings.valueBytes() / Constants.MACHINE_RECORD_BYTES;
-            for (Machine m : wanted) {
-                if (adding.size() < room) {
-                    adding.add(m);
-                    record.set(m.id, Records.machine(m));
-                }
+        Map<String, JsonNode> adding = new LinkedHashMap<>();
+        wanted.forEach((id, m) -> adding.put(id, Records.machine(m)));
+        copies.forEach(adding::putIfAbsent);
+        Map<String, String> added = create(txn, adding);
+        List<Machine> registering = new ArrayList<>();
+        added.keySet().forEach(id -> {
+            if (wanted.containsKey(id)) {
+                registering.add(wanted.get(id));
             }
-            txn.when(fresh, 0).put(fresh, record);
-        }
+        });
         Set<String> dropping = shrink(txn);
         if (txn.ops() == 0) {
             return;
@@ -132,23 +138,51 @@
         state.commit(txn, r -> {
             writing = false;
             if (r.ok()) {
-                adding.forEach(m -> {
-                    wanted.remove(m);
-                    named(m.id, fresh);
+                added.forEach((id, key) -> {
+                    wanted.remove(id);
+                    copies.remove(id);
+                    named(id, key);
                 });
                 unwanted.removeAll(dropping);
                 dropping.forEach(keysOf::remove);
-                registered.accept(adding);
+                registered.accept(registering);
+            } else if (r.status() == 400) {
+                LOG.error("record of machines refused ops={} machines={}", txn.ops(), added.size());
             }
         });
     }
 
+    /** New records for so many of the machines as the transaction has room for; returns the key that names each. */
+    private Map<String, String> create(StateClient.Txn txn, Map<String, JsonNode> machines) {
+        Map<String, String> added = new HashMap<>();
+        ObjectNode record = null;
+        String key = null;
+        int left = 0;
+        for (Map.Entry<String, JsonNode> m : machines.entrySet()) {
+            int bytes = Records.bytes(m.getValue()) + m.getKey().length() + 4; // quotes, colon and comma
+            if (left < bytes) {
+                if (txn.ops() == settings.txnOps() || (txn.ops() + 1) * settings.valueBytes() > Constants.BODY_BYTES * 3 / 4) {
+                    break;
+                }
+                record = Codec.object();
+                key = Keys.machines(settings.node(), baton, written++);
+                txn.when(key, 0).put(key, record);
+                left = Records.room(settings) - 2;
+            }
+            record.set(m.getKey(), m.getValue());
+            added.put(m.getKey(), key);
+            left -= bytes;
+        }
+        return added;
+    }
+
     /** Takes machines out of their records, as far as the transaction has room; returns those that are out of all of theirs. */
     private Set<String> shrink(StateClient.Txn txn) {
         Set<String> out = new HashSet<>();
         Set<String> touched = new HashSet<>();
-        int bytes = settings.valueBytes();
-        int most = txn.ops() + (state.spare() ? Constants.SHRINK_OPS : 0);
+        Set<String> leftAlone = new HashSet<>();
+        int bytes = txn.ops() * settings.valueBytes();
+        int most = Math.min(settings.txnOps(), txn.ops() + (state.spare() ? Constants.SHRINK_OPS : 0));
         for (String id : unwanted) {
             boolean all = true;
             for (String key : keysOf.getOrDefault(id, Set.of())) {
@@ -156,20 +190,23 @@
                 if (e == null) {
                     all = false; // written, but the view doesn't show it yet
                 }
-                if (e == null || !e.data().has(id) || touched.contains(key)) {
+                all &= !leftAlone.contains(key);
+                if (e == null || !e.data().has(id) || touched.contains(key) || leftAlone.contains(key)) {
                     continue;
                 }
                 ObjectNode left = e.data().deepCopy();
                 left.remove(unwanted);
-                int size = left.size() * Constants.MACHINE_RECORD_BYTES;
-                if (txn.ops() >= most || bytes + size > Constants.BODY_BYTES * 3 / 4) {
+                int size = Records.bytes(left);
+                boolean tooLarge = size > Records.room(settings);
+                if (txn.ops() >= most || bytes + size > Constants.BODY_BYTES * 3 / 4 || tooLarge && !namedElsewhere(left, key)) {
                     all = false;
-                    break;
+                    leftAlone.add(key);
+                    continue;
                 }
                 bytes += size;
                 touched.add(key);
                 txn.when(key, e.stamp());
-                if (left.isEmpty()) {
+                if (left.isEmpty() || tooLarge) {
                     txn.drop(key);
                 } else {
                     txn.put(key, left);
@@ -181,4 +218,23 @@
         }
         return out;
     }
+
+    /** Whether a record that can't be written again isn't needed any more. Machines that only it names get another first. */
+    private boolean namedElsewhere(ObjectNode machines, String tooLarge) {
+        boolean all = true;
+        for (Map.Entry<String, JsonNode> m : machines.properties()) {
+            boolean elsewhere = false;
+            boolean soon = false;
+            for (String key : keysOf.getOrDefault(m.getKey(), Set.of())) {
+                View.Entry e = view.get(key);
+                soon |= e == null; // written, but the view doesn't show it yet
+                elsewhere |= !key.equals(tooLarge) && e != null && Records.bytes(e.data()) <= Records.room(settings);
+            }
+            all &= elsewhere;
+            if (!elsewhere && !soon) {
+                copies.putIfAbsent(m.getKey(), m.getValue());
+            }
+        }
+        return all;
+    }
 }
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
+import org.hollypick.core.Dependencies;
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
@@ -50,10 +52,14 @@
     private final Rentals rentals;
     private final Registry registry;
     private final Progress progress;
+    private final Cascade cascade;
+    private final Dependencies dependencies;
     private final BooleanSupplier entitled;
     private final Runnable fence;
     private final Map<String, MachineType> types;
     private final Runnable resign;
+    /** Jobs whose cancellation went out and may be, or become, durable. */
+    private final Set<String> abortsInDoubt = new HashSet<>();
 
     private boolean ended;
     private boolean pumping;
@@ -68,12 +74,13 @@
     /** How late this loop runs, in milliseconds: what the node's processor share does to it. */
     private final Histogram lateness = new Histogram(2);
 
-    public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, StateClient state, CloudClient cloud,
-            WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence, Runnable resign, boolean nobodyBefore) {
+    public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
+            CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence, Runnable resign, boolean nobodyBefore) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
         this.view = view;
+        this.dependencies = dependencies;
         this.state = state;
         this.types = types;
         this.entitled = entitled;
@@ -86,6 +93,7 @@
         this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
         this.progress = new Progress(runtime, view, state, settings, scheduler);
+        this.cascade = new Cascade(runtime, view, state, settings, baton);
     }
 
     /** Starts from the records; the view holds every change up to the roster's own, and older owners can make none after it. */
@@ -156,29 +164,51 @@
                 continue;
             }
             if (!Records.isOver(e.data())) {
-                if (job == null) {
+                if (dependencies.isCancelled(id)) {
+                    cascade.add(id, e.stamp());
+                } else if (job == null) {
                     try {
                         JobSpec spec = JobCodec.read(e.data().path("spec"));
                         LOG.info("job job={} class={} tasks={} baton={}", id, spec.jobClass(), spec.tasks(), baton);
-                        scheduler.addJob(spec, e.stamp(), Codec.u64(e.data().path("under")), now);
+                        scheduler.addJob(spec, e.stamp(), Codec.u64(e.data().path("under")), dependencies.ready(id), dependencies.rank(id));
                     } catch (JobCodec.Invalid x) {
                         LOG.error("job record can't be read job={} field={}", id, x.getMessage());
                     }
                 }
             } else if (job != null) {
-                over(job, e.data().path("status").asText());
+                over(job, Records.status(e.data()));
             }
         }
+        followDependencies();
         pump();
     }
 
+    /** Ends that are durable release what waited for them, or take it along. */
+    private void followDependencies() {
+        for (String id : dependencies.takeChanged()) {
+            Job job = scheduler.jobs.get(id);
+            if (job != null && dependencies.isCancelled(id)) {
+                scheduler.jobs.remove(id);
+                scheduler.abort(job, runtime.now());
+                cascade.add(id, job.order);
+            } else if (job != null) {
+                scheduler.follow(job, dependencies.ready(id), dependencies.rank(id));
+            }
+        }
+    }
+
     private void over(Job job, String status) {
-        scheduler.jobs.remove(job.spec.id());
+        String id = job.spec.id();
+        scheduler.jobs.remove(id);
+        abortsInDoubt.remove(id);
         if (status.equals(Records.ABORTED)) {
             scheduler.abort(job, runtime.now());
+            dependencies.cancelled(id);
         } else {
             scheduler.close(job);
+            dependencies.done(id);
         }
+        followDependencies();
         pump();
     }
 
@@ -196,17 +226,25 @@
     /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
     private void commitEnd(Job job, String status, Consumer<Reply> reply) {
         job.endsInDoubt++;
+        if (status.equals(Records.ABORTED)) {
+            abortsInDoubt.add(job.spec.id());
+        }
         state.commit(ending(job, status), r -> {
-            if (r.status() != Reply.NO_ANSWER) {
-                job.endsInDoubt--;
+            if (r.status() != Reply.NO_ANSWER && --job.endsInDoubt == 0) {
+                abortsInDoubt.remove(job.spec.id());
             }
             reply.accept(r);
         });
     }
 
+    /** Whether another node may already tell an end of the job: its own, or the cancellation of one that it needs. */
+    public boolean inDoubt(Job job) {
+        return job.endsInDoubt > 0 || !abortsInDoubt.isEmpty() && dependencies.needsAny(job.spec.id(), abortsInDoubt);
+    }
+
     private StateClient.Txn ending(Job job, String status) {
         String id = job.spec.id();
-        return new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order).put(Keys.job(id), Records.over(job, status));
+        return new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order).put(Keys.job(id), Records.over(status, job.done.cardinality()));
     }
 
     /** Writes the ends of the jobs that are finished. */
@@ -304,7 +342,7 @@
             serviceCores += m.serviceCpus();
         }
         for (Job job : scheduler.jobs.values()) {
-            double pending = job.pending.cardinality() * job.spec.cpus();
+            double pending = job.waits() ? job.pending.cardinality() * job.spec.cpus() : 0;
             waiting += job.spec.service() ? 0 : pending;
             waitingServices += job.spec.service() ? pending : 0;
         }
@@ -338,15 +376,24 @@
             closeFinished();
             register();
             progress.flush();
+            cascade.flush();
         });
     }
 
     private void writeSizes() {
         ObjectNode record = Codec.object();
         ObjectNode sizes = record.putObject("sizes");
-        // The value limit bounds it; a size that is left out restarts at zero after a takeover.
-        scheduler.sizes().entrySet().stream().sorted((a, b) -> Double.compare(Math.abs(b.getValue()), Math.abs(a.getValue())))
-                .limit(settings.valueBytes() / 64).forEach(e -> sizes.put(e.getKey(), Math.round(e.getValue() * 10) / 10.0));
+        // The value limit bounds it, the largest first; a size that is left out restarts at zero after a takeover.
+        int left = Records.room(settings) - Records.bytes(record);
+        for (Map.Entry<String, Double> e : scheduler.sizes().entrySet().stream()
+                .sorted((x, y) -> Double.compare(Math.abs(y.getValue()), Math.abs(x.getValue()))).toList()) {
+            double size = Math.round(e.getValue() * 10) / 10.0;
+            left -= e.getKey().length() + Double.toString(size).length() + 4; // quotes, colon and comma
+            if (left < 0) {
+                break;
+            }
+            sizes.put(e.getKey(), size);
+        }
         String text = record.toString();
         if (!text.equals(lastSizes)) {
             state.commit(new StateClient.Txn().when(Keys.ROSTER, baton).put(Keys.sizes(settings.node()), record), r -> {
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -19,8 +19,11 @@
     public final long order;
     /** The roster stamp that the record's creation was conditional on. */
     public final long under;
-    public final long arrivedAt;
     public Status status = Status.LIVE;
+    /** All that it awaits is durably done; before that nothing of it starts, and it counts for nothing. */
+    public boolean ready;
+    /** Its own rank, or a higher one of a job that needs it. */
+    public JobSpec.Rank rank;
     public long abortedAt;
     public final BitSet done = new BitSet();
     /** Progress that is durable already. */
@@ -47,11 +50,12 @@
     /** Writes of an end that went out and may be, or become, true: another node may tell it before this one knows. */
     public int endsInDoubt;
 
-    public Job(JobSpec spec, long order, long under, long now) {
+    public Job(JobSpec spec, long order, long under, boolean ready, JobSpec.Rank rank) {
         this.spec = spec;
+        this.ready = ready;
+        this.rank = rank;
         this.order = order;
         this.under = under;
-        this.arrivedAt = now;
         pending.set(0, spec.tasks());
     }
 
@@ -80,9 +84,9 @@
         return inZone.getInt(zone);
     }
 
-    /** Something of it waits to be started. */
+    /** Something of it waits to be started, and may. */
     public boolean waits() {
-        return status == Status.LIVE && !pending.isEmpty();
+        return status == Status.LIVE && ready && !pending.isEmpty();
     }
 
     public boolean finished() {
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -10,8 +10,8 @@
 
 /** Which job goes where next: the two Tyrex partitions, their order and their lending. */
 final class Planner {
-    /** Exception to the design (docs/design.md, "rank before arrival"): arrival order holds among jobs of one rank. */
-    private static final Comparator<Job> ORDER = Comparator.<Job, JobSpec.Rank>comparing(j -> j.spec.rank())
+    /** Exception to the design (docs/design.md, "rank before arrival" and "rank of those that need it"): arrival order holds among jobs of one rank. */
+    private static final Comparator<Job> ORDER = Comparator.<Job, JobSpec.Rank>comparing(j -> j.rank)
             .thenComparing((a, b) -> Long.compareUnsigned(a.order, b.order));
 
     private final Scheduler scheduler;
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -68,19 +68,40 @@
 
     // ---- jobs ----
 
-    public Job addJob(JobSpec spec, long order, long under, long now) {
+    /** A job that awaits nothing. */
+    public Job addJob(JobSpec spec, long order, long under) {
+        return addJob(spec, order, under, true, spec.rank());
+    }
+
+    public Job addJob(JobSpec spec, long order, long under, boolean ready, JobSpec.Rank rank) {
         Job job = jobs.get(spec.id());
         if (job == null) {
-            job = new Job(spec, order, under, now);
+            job = new Job(spec, order, under, ready, rank);
             jobs.put(spec.id(), job);
-            double cores = spec.tasks() * spec.cpus();
-            arrived = spec.service() ? new Arrived(arrived.arrays, arrived.arrayWork, arrived.serviceCores + cores)
-                    : new Arrived(arrived.arrays + 1, arrived.arrayWork + cores * expectedRunS(job), arrived.serviceCores);
-            passWanted = true;
+            if (ready) {
+                arrived(job);
+            }
         }
         return job;
     }
 
+    /** Its ancestors or those that need it have changed: it may start from now on, or became more urgent. */
+    public void follow(Job job, boolean ready, JobSpec.Rank rank) {
+        job.rank = rank;
+        if (ready && !job.ready) {
+            job.ready = true;
+            arrived(job);
+        }
+    }
+
+    private void arrived(Job job) {
+        JobSpec spec = job.spec;
+        double cores = spec.tasks() * spec.cpus();
+        arrived = spec.service() ? new Arrived(arrived.arrays, arrived.arrayWork, arrived.serviceCores + cores)
+                : new Arrived(arrived.arrays + 1, arrived.arrayWork + cores * expectedRunS(job), arrived.serviceCores);
+        passWanted = true;
+    }
+
     /** What arrived in a while: array jobs, their work in core-seconds, and the cores of services. */
     public record Arrived(int arrays, double arrayWork, double serviceCores) {}
 
@@ -553,7 +574,7 @@
     public Map<String, Double> sizes() {
         Map<String, Double> sizes = new HashMap<>();
         for (Job job : jobs.values()) {
-            if (job.status == Job.Status.LIVE && !job.spec.service() && (job.partialSize > 0 || job.moved)) {
+            if (job.status == Job.Status.LIVE && job.ready && !job.spec.service() && (job.partialSize > 0 || job.moved)) {
                 sizes.put(job.spec.id(), job.moved ? -1 - job.partialSize : job.partialSize);
             }
         }
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -225,6 +225,9 @@
         Demand d = new Demand();
         for (Job job : scheduler.jobs.values()) {
             JobSpec s = job.spec;
+            if (!job.ready) {
+                continue;
+            }
             int pending = job.failures > 2 ? 0 : job.pending.cardinality(); // a job that fails everywhere rents nothing
             if (s.service() || !s.spot()) {
                 d.service = job;
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -122,7 +122,7 @@
             if (best != null && score <= bestScore) {
                 continue; // what is lost only makes it worse
             }
-            List<Placement> victims = m.hasRoom(job.spec) ? List.of() : victims(job.spec, m, now);
+            List<Placement> victims = m.hasRoom(job.spec) ? List.of() : victims(job, m, now);
             if (victims == null) {
                 continue;
             }
@@ -140,20 +140,20 @@
         return best == null ? null : new Choice(best, bestVictims);
     }
 
-    private static List<Placement> victims(JobSpec job, Machine m, long now) {
+    private static List<Placement> victims(Job job, Machine m, long now) {
         List<Placement> lower = new ArrayList<>();
         for (Placement p : m.placements.values()) {
-            if (p.there() && !p.stop && !(p.state() == Placement.State.SENT && p.launchMayFollow()) && p.job.spec.rank().compareTo(job.rank()) > 0) {
+            if (p.there() && !p.stop && !(p.state() == Placement.State.SENT && p.launchMayFollow()) && p.job.rank.compareTo(job.rank) > 0) {
                 lower.add(p);
             }
         }
-        lower.sort(Comparator.comparing((Placement p) -> p.job.spec.rank()).reversed().thenComparingLong(p -> -p.startedAt));
+        lower.sort(Comparator.comparing((Placement p) -> p.job.rank).reversed().thenComparingLong(p -> -p.startedAt));
         double cpus = m.type.cpus() - m.usedCpus;
         double gpus = m.type.gpus() - m.usedGpus;
         double memory = m.type.memory() - m.usedMemory;
         List<Placement> chosen = new ArrayList<>();
         for (Placement p : lower) {
-            if (fits(job, cpus, gpus, memory)) {
+            if (fits(job.spec, cpus, gpus, memory)) {
                 break;
             }
             chosen.add(p);
@@ -161,7 +161,7 @@
             gpus += p.job.spec.gpus();
             memory += p.job.spec.memory();
         }
-        return fits(job, cpus, gpus, memory) ? chosen : null;
+        return fits(job.spec, cpus, gpus, memory) ? chosen : null;
     }
 
     private static boolean fits(JobSpec job, double cpus, double gpus, double memory) {
--- a/src/main/java/org/hollypick/core/tyrex/Tyrex.java
+++ b/src/main/java/org/hollypick/core/tyrex/Tyrex.java
@@ -16,7 +16,7 @@
         List<Job> first = new ArrayList<>();
         int nonzero = 0;
         for (Job job : jobs) {
-            if (job.status == Job.Status.LIVE && !job.second()) {
+            if (job.status == Job.Status.LIVE && job.ready && !job.second()) {
                 first.add(job);
                 if (job.partialSize > 0) {
                     nonzero++;
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -41,12 +41,12 @@
 
     private Job service(String id, int tasks, long now) {
         return scheduler.addJob(new JobSpec(id, "web", "team", true, JobSpec.Rank.PRODUCTION, tasks, 1, 0, 1, null, null, false, true, false, "img", 1, 0,
-                0, 0, Double.NaN), machines, 5, now);
+                0, 0, Double.NaN), machines, 5);
     }
 
     private Job array(String id, int tasks, long now) {
         return scheduler.addJob(new JobSpec(id, "batch", "team", false, JobSpec.Rank.NORMAL, tasks, 2, 0, 1, null, null, false, false, true, "img", 1, 30,
-                0, 0, Double.NaN), machines, 5, now);
+                0, 0, Double.NaN), machines, 5);
     }
 
     private static int rented(Fleet.Plan plan, String zone, boolean spot) {
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -73,7 +73,7 @@
         Machine m = reporting();
         m.answeredAt = 0;
         scheduler.report(m, report("n-1", 2, 2, 5), false, LEASE_MS + 10_000);
-        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, LEASE_MS + 10_000);
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         launched(job, m, LEASE_MS + 10_000);
         scheduler.tick(LEASE_MS + 11_000);
         assertNotNull(job.live.get(0));
@@ -84,7 +84,7 @@
     @Test
     void anAttemptIsNotClearedWhileACopyOfItsLaunchMayFollow() {
         Machine m = reporting();
-        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
         List<Order> orders = scheduler.orders(m);
         scheduler.sentDirect(m, orders);
@@ -99,7 +99,7 @@
     @Test
     void anAttemptIsNotClearedWhileTheAnswerThatCarriesItIsUnderWay() {
         Machine m = reporting();
-        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
         scheduler.sentInAnswer(m, scheduler.orders(m));
         TaskReport failed = new TaskReport(p.taskId, p.attempt, State.EXITED, "error");
@@ -112,7 +112,7 @@
     @Test
     void aDoneAttemptIsClearedOnlyWhenItsProgressIsDurable() {
         Machine m = reporting();
-        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
         scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "done")), true, 100);
         assertTrue(job.finished());
@@ -126,8 +126,8 @@
         Machine heard = machine("n-1", true);
         Machine silent = machine("n-2", true);
         scheduler.report(heard, report("n-1", 1, 1, 5), true, 0);
-        Job older = scheduler.addJob(spec("req-1", 1, false), 1, 4, 0);
-        Job younger = scheduler.addJob(spec("req-2", 1, false), 6, 5, 0);
+        Job older = scheduler.addJob(spec("req-1", 1, false), 1, 4);
+        Job younger = scheduler.addJob(spec("req-2", 1, false), 6, 5);
         scheduler.pass(0);
         assertNull(older.live.get(0));
         assertNotNull(younger.live.get(0));
@@ -152,7 +152,7 @@
     @Test
     void reportsOfAnExpiredTenureSayNothing() {
         Machine m = reporting();
-        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
         scheduler.tick(LEASE_MS + 2_000);
         assertFalse(scheduler.report(m, report("n-1", 1, 9, 5, new TaskReport(p.taskId, p.attempt, State.RUNNING, "")), true, LEASE_MS + 3_000));
@@ -172,11 +172,11 @@
         Machine m = limited.addMachine("n-1", TYPE, "a", true, false, 0);
         m.registered = true;
         limited.report(m, report("n-1", 1, 1, 5), true, 0);
-        Job job = limited.addJob(spec("req-1", 4, false), 1, 5, 0);
+        Job job = limited.addJob(spec("req-1", 4, false), 1, 5);
         limited.pass(0);
         assertEquals(2, job.live.size());
         limited.abort(job, 0);
-        Job next = limited.addJob(spec("req-2", 4, false), 2, 5, 0);
+        Job next = limited.addJob(spec("req-2", 4, false), 2, 5);
         limited.pass(0);
         assertEquals(0, next.live.size(), "launches in flight still count");
     }
@@ -185,7 +185,7 @@
     @Test
     void aLaunchInDoubtOfACancelledJobCallsForANewBaton() {
         Machine m = reporting();
-        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         launched(job, m, 0);
         List<Order> orders = scheduler.orders(m);
         scheduler.sentDirect(m, orders);
@@ -200,11 +200,11 @@
     @Test
     void servicesStopLowerWorkAndStartBehindTheKill() {
         Machine m = reporting();
-        Job low = scheduler.addJob(spec("req-1", 4, false), 1, 5, 0);
+        Job low = scheduler.addJob(spec("req-1", 4, false), 1, 5);
         scheduler.pass(0);
         TaskReport[] running = low.live.values().stream().map(p -> new TaskReport(p.taskId, p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
         scheduler.report(m, report("n-1", 1, 2, 5, running), true, 100);
-        scheduler.addJob(spec("req-2", 1, true), 2, 5, 100);
+        scheduler.addJob(spec("req-2", 1, true), 2, 5);
         scheduler.pass(100);
         List<Order> orders = scheduler.orders(m);
         assertEquals(Order.Verb.STOP, orders.get(0).verb());
@@ -222,9 +222,9 @@
     @Test
     void errorsAcrossJobsAreTheMachinesAndEndNothingElse() {
         Machine m = reporting();
-        Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
-        Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5, 0);
-        Job good = scheduler.addJob(spec("req-3", 1, true), 3, 5, 0);
+        Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5);
+        Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5);
+        Job good = scheduler.addJob(spec("req-3", 1, true), 3, 5);
         scheduler.pass(0);
         Placement running = good.live.get(0);
         Placement a = one.live.get(0);
@@ -242,14 +242,14 @@
     void aJobThatFailsEverywhereBlamesNoMachine() {
         Machine m = reporting();
         Machine n = machine("n-2", false);
-        Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5, 0);
+        Job one = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         scheduler.pass(0);
         fail(m, one, 2, 100);
         n.registered = true;
         scheduler.report(n, report("n-2", 1, 1, 5), true, 200);
         scheduler.pass(10_000);
         fail(n, one, 2, 10_100);
-        Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5, 10_200);
+        Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5);
         scheduler.pass(10_200);
         fail(two.live.get(0).machine, two, 3, 10_300);
         assertFalse(m.faulty);
--- a/src/test/java/org/hollypick/PlannerTest.java
+++ b/src/test/java/org/hollypick/PlannerTest.java
@@ -52,7 +52,7 @@
                         service ? JobSpec.Rank.PRODUCTION : random.nextBoolean() ? JobSpec.Rank.NORMAL : JobSpec.Rank.LOW, 1 + random.nextInt(12),
                         1 + random.nextInt(3), 0, 2, null, random.nextInt(6) == 0 ? "a" : null, !service && random.nextInt(5) == 0, service,
                         !service, "img-" + random.nextInt(3), 1 + random.nextInt(3), 10, 0, 0, Double.NaN);
-                Job job = scheduler.addJob(spec, round * 100 + i, 5, 0);
+                Job job = scheduler.addJob(spec, round * 100 + i, 5);
                 job.moved = !service && random.nextInt(3) == 0;
             }
             if (round == 0) {
--- a/src/test/java/org/hollypick/sim/Checker.java
+++ b/src/test/java/org/hollypick/sim/Checker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.hollypick.io.Reply;
 
 /** One check a rule, fed by the stand-ins with what really happened. */
 final class Checker {
@@ -17,9 +18,13 @@
     private final Set<String> accepted = new HashSet<>();
     private final Map<String, Long> acceptedSince = new HashMap<>();
     private final Map<String, String> over = new HashMap<>();
+    /** Jobs that a user asked to cancel, and all that need them. */
     private final Set<String> withdrawn = new HashSet<>();
     private final Map<String, Long> toldCancelledAt = new HashMap<>();
     private final Map<String, Long> overSince = new HashMap<>();
+    private final Set<String> started = new HashSet<>();
+    /** When the user of a job was told that one that it needs is cancelled. */
+    private final Map<String, Long> orphanedAt = new HashMap<>();
     private final double teamCpus;
     private final long cancelMs;
     int starts;
@@ -44,6 +49,13 @@
             broken.add("ran_twice " + task + " on " + w.name);
         }
         where.add(w);
+        started.add(job(task));
+        for (JsonNode awaited : spec.path("awaits")) {
+            if (done.getOrDefault(awaited.asText(), Set.of()).size() < submitted.get(awaited.asText()).path("shards").asInt()
+                    || "aborted".equals(over.get(awaited.asText()))) {
+                broken.add("too_early " + task + " before " + awaited.asText());
+            }
+        }
         Long told = toldCancelledAt.get(job(task));
         if (told != null && now > told + cancelMs) {
             broken.add("ran_cancelled (started) " + task);
@@ -88,6 +100,7 @@
 
     void withdrawing(String id) {
         withdrawn.add(id);
+        withdrawn.addAll(needing(id));
     }
 
     /** {@code asked}: when the request was sent. Requests that overlap may be answered in either order. */
@@ -102,6 +115,9 @@
         if (before != null && !before.equals(status) && asked > overSince.get(id)) {
             broken.add("went_back " + id + " from " + before + " to " + status);
         }
+        if (orphanedAt.containsKey(id) && now > orphanedAt.get(id) + cancelMs && (status.equals("pending") || status.equals("running"))) {
+            broken.add("orphaned " + id + " still " + status);
+        }
         if (status.equals("done")) {
             end(id, status, now);
             if (done.getOrDefault(id, Set.of()).size() < submitted.get(id).path("shards").asInt()) {
@@ -110,12 +126,59 @@
         } else if (status.equals("aborted")) {
             end(id, status, now);
             toldCancelledAt.putIfAbsent(id, now);
+            orphan(id, now);
             if (!withdrawn.contains(id)) {
                 broken.add("went_back: cancelled without being asked " + id);
             }
         }
     }
 
+    /** All submitted jobs that need this one. */
+    private Set<String> needing(String id) {
+        Set<String> all = new HashSet<>();
+        List<String> todo = new ArrayList<>(List.of(id));
+        while (!todo.isEmpty()) {
+            String next = todo.remove(todo.size() - 1);
+            submitted.forEach((other, spec) -> {
+                for (JsonNode awaited : spec.path("awaits")) {
+                    if (awaited.asText().equals(next) && all.add(other)) {
+                        todo.add(other);
+                    }
+                }
+            });
+        }
+        return all;
+    }
+
+    private void orphan(String id, long now) {
+        for (String other : needing(id)) {
+            orphanedAt.putIfAbsent(other, now);
+            if (started.contains(other)) {
+                broken.add("too_early " + other + " started, and " + id + " before it is cancelled");
+            }
+        }
+    }
+
+    /** It is submitted now: one that needs a cancelled job is an orphan from the start. */
+    void submitting(String id, JsonNode spec, long now) {
+        submitted.put(id, spec);
+        for (JsonNode awaited : spec.path("awaits")) {
+            if (withdrawn.contains(awaited.asText())) {
+                withdrawn.add(id);
+            }
+            if (toldCancelledAt.containsKey(awaited.asText()) || orphanedAt.containsKey(awaited.asText())) {
+                orphanedAt.putIfAbsent(id, Math.min(orphanedAt.getOrDefault(awaited.asText(), Long.MAX_VALUE), toldCancelledAt.getOrDefault(awaited.asText(), Long.MAX_VALUE)));
+            }
+        }
+    }
+
+    /** A submission that must be refused, at once or by and by. */
+    void neverAccepted(String id, int status) {
+        if (status != 422 && status != 503 && status != Reply.NO_ANSWER && status != Reply.NOT_SENT) {
+            broken.add("accepted " + id + " that awaits what never was: " + status);
+        }
+    }
+
     private void end(String id, String status, long now) {
         if (over.putIfAbsent(id, status) == null) {
             overSince.put(id, now);
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -1,12 +1,14 @@
 package org.hollypick.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.hollypick.Node;
 import org.hollypick.config.OperatorSettings;
@@ -14,6 +16,7 @@
 import org.hollypick.io.Call;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
 
 /** A short day: three controllers, users, machines and faults drawn from a seed, with every rule checked. */
 final class Day {
@@ -26,7 +29,9 @@
         final int index;
         final double rate;
         World.Process process;
-        Node node;
+        Controller node;
+        /** It still has the version in production. */
+        boolean old;
 
         Host(int index) {
             this.index = index;
@@ -35,13 +40,13 @@
 
         void start() {
             process = world.new Process("bothy-" + index, rate);
-            node = new Node(process, settings(index), OperatorSettings.defaults());
+            node = old ? production.controller(process, settings(index, false)) : Controller.of(version.apply(process, settings(index, tightened != null)));
             process.after(0, node::start);
         }
 
         void crash(long ms) {
             if (process.dead) {
-                return;
+                return; // it comes back with the version that is due by then
             }
             process.dead = true;
             world.at(ms, this::start);
@@ -55,9 +60,9 @@
         @Override
         public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
             World.Process at = process;
-            node.handle(method, path, body == null ? new byte[0] : Codec.write(body, false), a -> {
+            node.handle(method, path, body == null ? new byte[0] : Codec.write(body, false), r -> {
                 if (!at.dead) {
-                    reply.accept(new Reply(a.status(), a.body()));
+                    reply.accept(r);
                 }
             });
         }
@@ -69,6 +74,9 @@
     final CloudStandIn cloud;
     private final List<Host> hosts = new ArrayList<>();
     private final int size;
+    private final Production production;
+    private final Limits tightened;
+    private final BiFunction<Runtime, Settings, Node> version;
     private int jobs;
     private boolean lasting;
     private final Set<String> keep = new HashSet<>();
@@ -79,7 +87,15 @@
 
     /** {@code size}: how many times as many machines and tasks as usual. */
     Day(long seed, int size) {
+        this(seed, size, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()));
+    }
+
+    /** {@code production}: with what the controllers begin; {@code tightened}: limits that come later; {@code version}: the new one. */
+    Day(long seed, int size, Production production, Limits tightened, BiFunction<Runtime, Settings, Node> version) {
         this.size = size;
+        this.production = production;
+        this.tightened = tightened;
+        this.version = version;
         world = new World(seed);
         state = new StateStandIn(world);
         checker = new Checker(TEAM_CPUS * size, 35_000);
@@ -89,6 +105,7 @@
         world.listen("cloud:1", cloud);
         for (int i = 0; i < 3; i++) {
             Host h = new Host(i);
+            h.old = production != null;
             hosts.add(h);
             h.start();
             world.listen("p" + i + ":1", h);
@@ -101,9 +118,9 @@
                 @Override
                 public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
                     World.Process at = h.process;
-                    h.node.handleMesh(method, path, body == null ? new byte[0] : Codec.write(body, true), a -> {
+                    h.node.handleMesh(method, path, body == null ? new byte[0] : Codec.write(body, true), r -> {
                         if (!at.dead) {
-                            reply.accept(new Reply(a.status(), a.body()));
+                            reply.accept(r);
                         }
                     });
                 }
@@ -112,11 +129,14 @@
         sweep();
     }
 
+    /** Limits of the state service. */
+    record Limits(int valueBytes, int txnOps, double writeRps) {}
+
     private static double clockRate(int index) {
         return 1 + (index - 1) * 0.0005;
     }
 
-    private Settings settings(int index) {
+    private Settings settings(int index, boolean tight) {
         List<Settings.Sibling> siblings = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             if (i != index) {
@@ -124,7 +144,8 @@
             }
         }
         return new Settings("bothy-" + index, "a", "p" + index + ":1", "m" + index + ":1", siblings, "cloud:1", "state:1", ZONES,
-                Map.of("team", new Settings.Team("team", 20 * size, TEAM_CPUS * size, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150, 60, 8192, 12, 8, 4, 1000);
+                Map.of("team", new Settings.Team("team", 20 * size, TEAM_CPUS * size, 0, 0)), List.of(), 3, LEASE_MS / 1000.0, 35, 150,
+                tight ? tightened.writeRps : 60, tight ? tightened.valueBytes : 8192, tight ? tightened.txnOps : 12, 8, 4, 1000);
     }
 
     private void sweep() {
@@ -164,10 +185,85 @@
                 .put("together", !service && world.random.nextInt(4) == 0).put("spread", service).put("lendable", !service)
                 .put("bundle", "img-" + world.random.nextInt(3)).put("pull_gb", 1.0).put("expect_s", service ? 0.0 : 4.0 + world.random.nextInt(15))
                 .put("bookmark_s", 0.0).put("stow_s", 0.0);
-        checker.submitted.put(id, b);
+        begin(id, b);
+    }
+
+    private void begin(String id, ObjectNode b) {
+        checker.submitting(id, b, world.now);
         submit(id, b, world.now + 60_000);
     }
 
+    /** One stage of a pipeline, submitted as soon as what it awaits is accepted. */
+    private String stage(int tasks, double seconds, String... awaits) {
+        String id = String.format("req-%06d", jobs++);
+        ObjectNode b = Codec.object().put("name_id", id).put("jobkind", "stage").put("owner", "team").put("shape", "batch")
+                .put("rank", world.random.nextBoolean() ? "urgent" : "low").put("shards", tasks).put("cores", 1.0).put("gpus", 0.0).put("ram_gb", 2.0)
+                .put("together", false).put("spread", false).put("lendable", true).put("bundle", "img-0").put("pull_gb", 1.0).put("expect_s", seconds)
+                .put("bookmark_s", 0.0).put("stow_s", 0.0);
+        ArrayNode list = b.putArray("awaits");
+        List.of(awaits).forEach(list::add);
+        submitWhenAccepted(id, b);
+        return id;
+    }
+
+    private void submitWhenAccepted(String id, ObjectNode b) {
+        for (JsonNode awaited : b.path("awaits")) {
+            if (!checker.isAccepted(awaited.asText())) {
+                world.at(50, () -> submitWhenAccepted(id, b));
+                return;
+            }
+        }
+        begin(id, b);
+    }
+
+    /** First one job, then some side by side and one that may not be lent, then a last one that needs all; now and then submitted late or cancelled. */
+    void pipelines(int count, long within) {
+        for (int i = 0; i < count; i++) {
+            world.at(world.random.nextInt((int) within), this::pipeline);
+        }
+    }
+
+    private void pipeline() {
+        List<String> batches = new ArrayList<>();
+        checker.submitted.forEach((id, spec) -> {
+            if (spec.path("shape").asText().equals("batch") && checker.isAccepted(id)) {
+                batches.add(id);
+            }
+        });
+        batches.sort(null);
+        boolean behind = !batches.isEmpty() && world.random.nextInt(3) == 0;
+        String first = behind ? stage(1 + world.random.nextInt(4), 4, batches.get(world.random.nextInt(batches.size()))) : stage(1 + world.random.nextInt(4), 4);
+        List<String> middle = new ArrayList<>();
+        for (int i = 1 + world.random.nextInt(3); i > 0; i--) {
+            middle.add(stage(1 + world.random.nextInt(3 * size), 5, first));
+        }
+        middle.add(stage(1, 4, first, first));
+        String[] all = middle.toArray(new String[0]);
+        world.at(world.random.nextInt(4) == 0 ? world.random.nextInt(60_000) : 0, () -> stage(2, 3, all));
+        world.at(world.random.nextInt(30_000), () -> refused(first));
+    }
+
+    /** What awaits itself or nothing that was ever accepted can never run. */
+    private void refused(String known) {
+        ObjectNode b = ((ObjectNode) checker.submitted.getOrDefault(known, Codec.object())).deepCopy().put("name_id", "req-9" + known.substring(4));
+        b.putArray("awaits").add(known).add(world.random.nextBoolean() ? b.path("name_id").asText() : "req-777777");
+        world.send("user", new Call(anyNode(), "POST", "/submissions", b, 5_000, false), r -> checker.neverAccepted(b.path("name_id").asText(), r.status()));
+    }
+
+    /** Kills the controllers one after the other; they come back with the new version. */
+    void roll(long from, long every) {
+        for (Host h : hosts) {
+            world.at(from + every * h.index, () -> {
+                h.old = false;
+                h.crash(4_000);
+            });
+        }
+    }
+
+    void tighten() {
+        state.tighten(tightened.valueBytes, tightened.txnOps, tightened.writeRps);
+    }
+
     private String anyNode() {
         return "p" + world.random.nextInt(3) + ":1";
     }
--- a/src/test/java/org/hollypick/sim/StateStandIn.java
+++ b/src/test/java/org/hollypick/sim/StateStandIn.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.hollypick.io.Codec;
+import org.hollypick.io.RateBudget;
 import org.hollypick.io.Reply;
 
 /** The state service, written from the protocol. */
@@ -32,6 +33,12 @@
     private long epoch;
     private long tenancies;
     private boolean down;
+    private int valueBytes = 8_192;
+    private int txnOps = 12;
+    private final RateBudget requests;
+    private final RateBudget writes;
+    /** Refusals for a value or a transaction that is too large: nodes should know better. */
+    int tooLarge;
     /** Keys that lists leave out; a test breaks the service's promises with it. */
     Predicate<String> hidden = k -> false;
     /** Share of a hold's life after which it ends; below 1 breaks the promise that none ends early. */
@@ -39,6 +46,26 @@
 
     StateStandIn(World world) {
         this.world = world;
+        this.requests = new RateBudget(150, world.now);
+        this.writes = new RateBudget(60, world.now);
+    }
+
+    /** From now on, without notice. What is stored stays readable. */
+    void tighten(int valueBytes, int txnOps, double writeRps) {
+        this.valueBytes = valueBytes;
+        this.txnOps = txnOps;
+        writes.setRate(writeRps);
+    }
+
+    /** What is stored under keys with a prefix, by key. */
+    Map<String, JsonNode> stored(String prefix) {
+        Map<String, JsonNode> found = new TreeMap<>();
+        keys.forEach((k, e) -> {
+            if (k.startsWith(prefix)) {
+                found.put(k, e.data);
+            }
+        });
+        return found;
     }
 
     /** What is stored under a key; null without one. */
@@ -118,7 +145,16 @@
         }
         if (down) {
             reply.accept(new Reply(503, Codec.object()));
-        } else if (where.equals("/watch")) {
+            return;
+        }
+        int puts = body == null ? 0 : body.path("then").size();
+        if (!requests.has(1, world.now) || !writes.has(puts, world.now)) {
+            reply.accept(new Reply(429, Codec.object()));
+            return;
+        }
+        requests.take(1, world.now);
+        writes.take(puts, world.now);
+        if (where.equals("/watch")) {
             long from = Long.parseLong(query.get("from"));
             ObjectNode now = events(query.get("prefix"), from);
             if (!now.path("events").isEmpty()) {
@@ -195,6 +231,14 @@
     }
 
     private Reply commit(JsonNode body) {
+        boolean fits = body.path("then").size() <= txnOps && body.path("when").size() <= 4 * txnOps && Codec.write(body, true).length <= 64 * 1024;
+        for (JsonNode op : body.path("then")) {
+            fits &= !op.has("put") || Codec.write(op.get("data"), true).length <= valueBytes;
+        }
+        if (!fits) {
+            tooLarge++;
+            return new Reply(400, Codec.object().put("error", "too large"));
+        }
         ArrayNode failed = Codec.array();
         for (JsonNode c : body.path("when")) {
             Entry e = keys.get(c.get("key").asText());
