--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -183,6 +183,8 @@
     public static final double LOAD_HEADROOM = 1.5;
     /** Jobs in the window at which the mean is half relied on: sizes vary by as much as their mean. */
     public static final double LOAD_DOUBT_JOBS = 30;
+    /** Arrivals that the mean promised and that didn't come, after which it no longer holds: by chance once in e^12 times. */
+    public static final double MISSED_ARRIVALS = 12;
     /** Seconds of watching before a mean says anything. */
     public static final double MEAN_MIN_S = 5;
     /** Milliseconds at the first term's start whose arrivals aren't counted into the means. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -37,6 +37,9 @@
     private long startedAt;
     private final Mean arrayJobs = new Mean(Constants.LOAD_WINDOW_S);
     private final Mean arrays = new Mean(Constants.LOAD_WINDOW_S);
+    /** When an array last arrived, and how many a second did until then, as far as that can be relied on. */
+    private long arrayArrivedAt;
+    private double arrayRate;
     private final Mean services = new Mean(Constants.SERVICE_WINDOW_S);
 
     /** {@code firstTerm}: nobody owned anything before, so a crowd of users may be starting. */
@@ -94,7 +97,7 @@
             }
         }
         double supply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
-        double base = arrays.perSecond() * Constants.LOAD_HEADROOM * reliance();
+        double base = stopped(now) ? 0 : arrays.perSecond() * Constants.LOAD_HEADROOM * reliance();
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             JobSpec array = demand.array.spec;
@@ -121,6 +124,15 @@
             arrayJobs.arrived(arrived.arrays(), now);
             services.arrived(arrived.serviceCores(), now);
         }
+        if (arrived.arrays() > 0) {
+            arrayArrivedAt = now;
+            arrayRate = arrayJobs.perSecond() * reliance();
+        }
+    }
+
+    /** So many arrays didn't come that should have by now: the mean says nothing any more, and what it keeps is a waste. */
+    private boolean stopped(long now) {
+        return (now - arrayArrivedAt) / 1000.0 * arrayRate > Constants.MISSED_ARRIVALS;
     }
 
     /** Beyond this many cores spot machines work off a crowd soon enough; before anything is known there is no limit. */
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -110,6 +110,23 @@
         assertEquals(60, fleet.load(), 12, "one job of 600 core-seconds each 10 s");
     }
 
+    /** The mean forgets over minutes: after the last job of a day, machines for jobs that no longer came cost a third of it. */
+    @Test
+    void roomForArraysGoesOnceTheyNoLongerCome() {
+        for (int i = 0; i < 4; i++) {
+            machine(i % 2 == 0 ? "a" : "b", true, 0);
+        }
+        long now = 0;
+        for (; now < 200_000; now += 1_000) {
+            scheduler.jobs.clear();
+            array("req-" + now, 1, now);
+            assertTrue(fleet.plan(scheduler, TYPES, ZONES, now).returns().isEmpty() || now < 60_000);
+        }
+        scheduler.jobs.clear();
+        assertTrue(fleet.plan(scheduler, TYPES, ZONES, now + 8_000).returns().isEmpty(), "a pause");
+        assertEquals(4, fleet.plan(scheduler, TYPES, ZONES, now + 30_000).returns().size());
+    }
+
     /** Services end one by one: without moves all machines stay, each nearly empty. */
     @Test
     void replicasMoveOffTheEmptiestMachinesOnceTheyHaveRunForAWhile() {
--- a/src/test/java/org/hollypick/sim/PipelinesTest.java
+++ b/src/test/java/org/hollypick/sim/PipelinesTest.java
@@ -256,8 +256,31 @@
         assertEquals("done", day.ask("GET", "/submissions/req-5", null).body().path("status").asText());
     }
 
+    /** The same of progress: while a record can't be written, nothing that is done may be cleared from the machines' reports. */
+    @Test
+    void progressOfTheOldVersionThatIsTooLargeMovesOn() {
+        Day day = new Day(12, 20, null, TIGHT, NEW);
+        day.play(5_000);
+        ObjectNode packed = Codec.object();
+        for (int i = 0; i < 220; i++) {
+            String id = String.format("req-%06d", 100 + i);
+            packed.put(id + "/0", "AA==");
+            day.world.at(i * 60, () -> day.begin(id, job(id, 7, List.of()).put("expect_s", 30.0)));
+        }
+        day.play(20_000);
+        day.state.store("h/p/0", packed);
+        assertTrue(Codec.write(packed, true).length > 2_048);
+        day.crashAll();
+        day.tighten();
+        day.play(250_000);
+        assertEquals(List.of(), day.checker.broken);
+        assertEquals(0, day.state.tooLarge);
+        day.checker.submitted.keySet().forEach(id -> assertTrue(day.checker.isOver(id), id));
+        assertEquals(0, day.cloud.workers().stream().mapToInt(WorkerStandIn::tasks).sum());
+    }
+
     /**
-     * Records of machines and progress that the version in production wrote under larger limits can't be written again as they are. A
+     * Records of machines that the version in production wrote under larger limits can't be written again as they are. A
      * refused write was repeated for ever, with every new machine's record in the same transaction.
      */
     @Test
--- a/src/test/java/org/hollypick/sim/WorkerStandIn.java
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -61,6 +61,11 @@
         watchLease();
     }
 
+    /** Tasks that it reports, exited ones included. */
+    int tasks() {
+        return tasks.size();
+    }
+
     /** Tasks end with the lease even on a machine that hangs. */
     private void watchLease() {
         world.at(100, () -> {
