--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -97,7 +97,7 @@
             }
         }
         double supply = spotCores + Math.max(0, ordinaryCores - serviceNeed);
-        double base = stopped(now) ? 0 : arrays.perSecond() * Constants.LOAD_HEADROOM * reliance();
+        double base = arrays.perSecond() * Constants.LOAD_HEADROOM * reliance();
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             JobSpec array = demand.array.spec;
@@ -127,14 +127,14 @@
         if (arrived.arrays() > 0) {
             arrayArrivedAt = now;
             arrayRate = arrayJobs.perSecond() * reliance();
+        } else if ((now - arrayArrivedAt) / 1000.0 * arrayRate > Constants.MISSED_ARRIVALS) {
+            // So many didn't come that should have by now: the mean says nothing any more, and what it keeps is a waste.
+            arrays.forget();
+            arrayJobs.forget();
+            arrayRate = 0;
         }
     }
 
-    /** So many arrays didn't come that should have by now: the mean says nothing any more, and what it keeps is a waste. */
-    private boolean stopped(long now) {
-        return (now - arrayArrivedAt) / 1000.0 * arrayRate > Constants.MISSED_ARRIVALS;
-    }
-
     /** Beyond this many cores spot machines work off a crowd soon enough; before anything is known there is no limit. */
     private double ordinaryLimit() {
         return arrays.perSecond() > 0 ? arrays.perSecond() * Constants.ORDINARY_LOAD / reliance() : Double.MAX_VALUE;
--- a/src/main/java/org/hollypick/core/fleet/Mean.java
+++ b/src/main/java/org/hollypick/core/fleet/Mean.java
@@ -26,6 +26,11 @@
         at = now;
     }
 
+    /** Nothing arrives any more; one that comes later is a single one, and no crowd's beginning. */
+    void forget() {
+        mean = 0;
+    }
+
     /** 0 until it was watched for long enough to tell anything. */
     double perSecond() {
         return observedS >= Constants.MEAN_MIN_S ? mean / seen : 0;
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -125,6 +125,9 @@
         scheduler.jobs.clear();
         assertTrue(fleet.plan(scheduler, TYPES, ZONES, now + 8_000).returns().isEmpty(), "a pause");
         assertEquals(4, fleet.plan(scheduler, TYPES, ZONES, now + 30_000).returns().size());
+        // A single late one brought all that room back, booting machines for nothing.
+        array("req-late", 1, now);
+        assertTrue(fleet.plan(scheduler, TYPES, ZONES, now + 31_000).rents().isEmpty());
     }
 
     /** Services end one by one: without moves all machines stay, each nearly empty. */
