--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -223,6 +223,8 @@
     public static final double MOVE_MARGIN = 2;
     /** Replicas that move in one plan at most, so that few are away at a time. */
     public static final int MOVES_AT_ONCE = 4;
+    /** Seconds of fetching that it costs a replica at most to stay off a machine that is emptied next: less than any image, so that it waits for none. */
+    public static final double EMPTIED_NEXT_S = 1;
     /** Milliseconds a replica runs before it may be moved. */
     public static final long MOVE_AFTER_MS = 40_000;
     /** Records of machines that are shortened at once at most: users' writes must not wait behind them. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -194,7 +194,8 @@
     private static List<Placement> moves(Collection<Machine> machines, Map<String, Double> spare, double surplus, long now) {
         List<Placement> moves = new ArrayList<>();
         for (Map.Entry<String, Double> zone : spare.entrySet()) {
-            double left = Math.min(zone.getValue(), surplus) / Constants.MOVE_MARGIN;
+            double excess = Math.min(zone.getValue(), surplus);
+            double left = excess / Constants.MOVE_MARGIN;
             List<Machine> emptiest = new ArrayList<>();
             for (Machine m : machines) {
                 if (!m.spot && m.zone.equals(zone.getKey()) && (m.emptying || m.usable())) {
@@ -204,7 +205,9 @@
             emptiest.sort(Comparator.comparingDouble((Machine m) -> m.emptying ? 0 : 1).thenComparingDouble(Machine::serviceCpus));
             for (Machine m : emptiest) {
                 left -= m.type.cpus(); // those that are empty already are on their way out
+                excess -= m.type.cpus();
                 m.emptying = left >= 0 && m.serviceCpus() > 0;
+                m.emptiedNext = !m.emptying && excess >= 0;
                 if (m.emptying) {
                     move(m, machines, moves, now);
                 }
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -46,6 +46,8 @@
     public boolean surplus;
     /** Its replicas move elsewhere, so that it can be returned; it gets nothing new. */
     public boolean emptying;
+    /** Its replicas will move after those of the machines that are emptied now. */
+    public boolean emptiedNext;
     /** In the first Tyrex partition. */
     public boolean first;
     public boolean directBusy;
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -80,12 +80,12 @@
     }
 
     /**
-     * Higher is better: the image's fetch time first, then replicas apart, and no machine with a large share of all services: what is
-     * lost with it counts. Among very many machines no share is large, and services fill one after the other.
+     * Higher is better: the image's fetch time first, then replicas apart, no machine that will soon be emptied, and none with a large
+     * share of all services: what is lost with it counts. Among very many machines no share is large, and services fill one after the other.
      */
     private static double serviceScore(Job job, Machine m, int replicas, double allServices) {
         double share = (m.serviceCpus() - replicas * job.spec.cpus()) / Math.max(1, allServices);
-        return -fetchS(job.spec, m) - replicas * Constants.REPLICA_APART - share * Constants.SERVICE_SPREAD;
+        return -fetchS(job.spec, m) - replicas * Constants.REPLICA_APART - share * Constants.SERVICE_SPREAD - (m.emptiedNext ? Constants.EMPTIED_NEXT_S : 0);
     }
 
     /** Seconds until the image is there, more if others are being fetched. */
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -147,6 +147,13 @@
             assertTrue(p.machine.emptying);
             assertFalse(p.machine.usable(), "nothing new goes to a machine that is emptied");
         });
+        // Moved replicas went to the emptiest machines, those to be emptied next: most moves were for nothing.
+        plan.moves().forEach(p -> scheduler.stop(p, 0));
+        Machine next = scheduler.machines.values().stream().filter(m -> m.emptiedNext).findFirst().orElseThrow();
+        assertTrue(next.usable());
+        Job late = service("req-late", 1, 0);
+        scheduler.pass(101_000);
+        assertFalse(late.live.get(0).machine.emptiedNext);
         // Without the image elsewhere a move would cost a fetch.
         scheduler.machines.values().forEach(m -> m.images.clear());
         assertTrue(fleet.plan(scheduler, TYPES, ZONES, 101_000).moves().isEmpty());
