--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -111,7 +111,7 @@
             }
             state.setOwner(true);
             term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, () -> membership.entitled(baton),
-                    () -> membership.fence(baton), membership::resign, membership.terms() == 1);
+                    membership::reachesState, () -> membership.fence(baton), membership::resign, membership.terms() == 1);
             term.start();
         }
         membership.claimIfFree();
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -32,6 +32,7 @@
     private final CloudClient cloud;
     private final Map<String, MachineType> types;
     private final BooleanSupplier acting;
+    private final BooleanSupplier open;
     private final Runnable pump;
     private final Fleet fleet;
     private final long startedAt;
@@ -46,13 +47,14 @@
     private long hires;
 
     Rentals(Runtime runtime, Settings settings, OperatorSettings operator, Scheduler scheduler, CloudClient cloud,
-            Map<String, MachineType> types, BooleanSupplier acting, Runnable pump, boolean nobodyBefore) {
+            Map<String, MachineType> types, BooleanSupplier acting, BooleanSupplier open, Runnable pump, boolean nobodyBefore) {
         this.runtime = runtime;
         this.settings = settings;
         this.scheduler = scheduler;
         this.cloud = cloud;
         this.types = types;
         this.acting = acting;
+        this.open = open;
         this.pump = pump;
         this.fleet = new Fleet(operator, nobodyBefore);
         this.nobodyBefore = nobodyBefore;
@@ -93,6 +95,9 @@
         if (!nobodyBefore && (!listedOnce || now - startedAt < settings.listLagS() * 2000 && !scheduler.machines.isEmpty())) {
             return; // machines that an earlier owner rented may not be listed yet
         }
+        if (!open.getAsBoolean()) {
+            fleet.closed(now);
+        }
         Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
         if (hiring == 0) { // else machines may be on their way already
             for (Fleet.Rent rent : plan.rents()) {
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -75,7 +75,8 @@
     private final Histogram lateness = new Histogram(2);
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
-            CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, Runnable fence, Runnable resign, boolean nobodyBefore) {
+            CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, BooleanSupplier reachesState, Runnable fence,
+            Runnable resign, boolean nobodyBefore) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
@@ -90,7 +91,7 @@
         this.smoothSince = runtime.now();
         this.scheduler = new Scheduler(baton, settings, operator.firstShare(), runtime.now());
         this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, this::pump);
-        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, this::pump, nobodyBefore);
+        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, reachesState, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
         this.progress = new Progress(runtime, view, state, settings, scheduler);
         this.cascade = new Cascade(runtime, view, state, settings, baton);
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -48,6 +48,11 @@
         this.crowdMs = firstTerm ? Constants.CROWD_MS : 0;
     }
 
+    /** Nobody can submit now: that nothing arrives says nothing. */
+    public void closed(long now) {
+        arrayArrivedAt = now;
+    }
+
     public void refused(Kind kind, long now) {
         refusedUntil.put(kind, now + Constants.NO_CAPACITY_MS);
     }
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -124,6 +124,9 @@
         }
         scheduler.jobs.clear();
         assertTrue(fleet.plan(scheduler, TYPES, ZONES, now + 8_000).returns().isEmpty(), "a pause");
+        fleet.closed(now + 20_000);
+        assertTrue(fleet.plan(scheduler, TYPES, ZONES, now + 30_000).returns().size() < 4, "nobody could submit");
+        now += 20_000;
         assertEquals(4, fleet.plan(scheduler, TYPES, ZONES, now + 30_000).returns().size());
         // A single late one brought all that room back, booting machines for nothing.
         array("req-late", 1, now);
