--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -223,8 +223,9 @@
     public static final double MOVE_MARGIN = 2;
     /** Replicas that move in one plan at most, so that few are away at a time. */
     public static final int MOVES_AT_ONCE = 4;
-    /** Seconds of fetching that it costs a replica at most to stay off a machine that is emptied next: less than any image, so that it waits for none. */
-    public static final double EMPTIED_NEXT_S = 1;
+    /** Seconds of fetching that it costs a replica at most to stay off a machine that is emptied next: it decides among very many machines, where
+     * shares of services differ by less, and neither against a spread over few nor for stopping lower work. */
+    public static final double EMPTIED_NEXT_S = 0.5;
     /** Milliseconds a replica runs before it may be moved. */
     public static final long MOVE_AFTER_MS = 40_000;
     /** Records of machines that are shortened at once at most: users' writes must not wait behind them. */
