--- a/src/main/java/org/hollypick/config/Settings.java
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -71,7 +71,7 @@
                 List.copyOf(zones), teams, List.copyOf(objectives),
                 positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "cancel_s"),
                 tightest(state, "rps"), tightest(state, "write_rps"), (int) (tightest(state, "value_kb") * 1024),
-                (int) tightest(state, "txn_ops"), positive(cloud, "rps"), positive(cloud, "list_lag_s"),
+                operations(state), positive(cloud, "rps"), positive(cloud, "list_lag_s"),
                 (int) positive(table(params, "resources"), "sockets"));
     }
 
@@ -131,6 +131,14 @@
         }
     }
 
+    private static int operations(JsonNode state) {
+        int ops = (int) tightest(state, "txn_ops");
+        if (ops < 1) {
+            throw new ConfigException("txn_ops: below 1");
+        }
+        return ops;
+    }
+
     private static double positive(JsonNode at, String field) {
         JsonNode v = at.path(field);
         if (!v.isNumber() || !(v.asDouble() > 0)) {
--- a/src/test/java/org/hollypick/SettingsTest.java
+++ b/src/test/java/org/hollypick/SettingsTest.java
@@ -76,6 +76,9 @@
         assertEquals(2 * 1024, s.valueBytes());
         assertEquals(16, s.txnOps());
         assertEquals(50, s.stateWriteRps());
+        next.put("txn_ops", 0.5);
+        assertTrue(assertThrows(ConfigException.class, () -> Settings.parse(toml)).getMessage().contains("txn_ops"));
+        next.put("txn_ops", 4);
         next.put("write_rps", 0);
         assertTrue(assertThrows(ConfigException.class, () -> Settings.parse(toml)).getMessage().contains("next.write_rps"));
         ((ObjectNode) toml.path("params").path("state")).put("next", 3);
