--- a/src/test/java/org/hollypick/sim/PipelinesTest.java
+++ b/src/test/java/org/hollypick/sim/PipelinesTest.java
@@ -205,6 +205,26 @@
         assertTrue(day.checker.isOver(last));
     }
 
+    /** Under small values one job's progress needs several parts; what they say holds across the loss of all controllers. */
+    @Test
+    void progressOfAJobLargerThanAValueIsKept() {
+        Day day = new Day(8, 20, null, new Day.Limits(640, 4, 40), NEW);
+        day.tighten();
+        day.play(5_000);
+        int tasks = 4_000;
+        day.begin("req-1", job("req-1", tasks, List.of()).put("expect_s", 6.0));
+        while (day.checker.completed < tasks / 2) {
+            day.play(1_000);
+        }
+        assertTrue(day.state.stored("h/p/").values().stream().anyMatch(r -> r.has("req-1@0/0")));
+        day.crashAll();
+        day.play(200_000);
+        assertTrue(day.checker.isOver("req-1"));
+        assertEquals(List.of(), day.checker.broken);
+        assertEquals(0, day.state.tooLarge);
+        assertTrue(day.checker.starts < tasks * 1.4, "started again: " + day.checker.starts);
+    }
+
     /** What can't be read, or be stored whatever the limits, is refused for good; what was accepted before stays so. */
     @Test
     void garbageInAwaitsIsRefused() {
