--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -226,6 +226,8 @@
     /** Seconds of fetching that it costs a replica at most to stay off a machine that is emptied next: it decides among very many machines, where
      * shares of services differ by less, and neither against a spread over few nor for stopping lower work. */
     public static final double EMPTIED_NEXT_S = 0.5;
+    /** Share of all services that fits on one machine, up to which replicas stay off those emptied next: among few machines they spread. */
+    public static final double EMPTIED_NEXT_SHARE = 0.05;
     /** Milliseconds a replica runs before it may be moved. */
     public static final long MOVE_AFTER_MS = 40_000;
     /** Records of machines that are shortened at once at most: users' writes must not wait behind them. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -198,6 +198,7 @@
      */
     private static List<Placement> moves(Collection<Machine> machines, Map<String, Double> spare, double surplus, long now) {
         List<Placement> moves = new ArrayList<>();
+        double allServices = machines.stream().mapToDouble(Machine::serviceCpus).sum();
         for (Map.Entry<String, Double> zone : spare.entrySet()) {
             double excess = Math.min(zone.getValue(), surplus);
             double left = excess / Constants.MOVE_MARGIN;
@@ -212,7 +213,7 @@
                 left -= m.type.cpus(); // those that are empty already are on their way out
                 excess -= m.type.cpus();
                 m.emptying = left >= 0 && m.serviceCpus() > 0;
-                m.emptiedNext = !m.emptying && excess >= 0;
+                m.emptiedNext = !m.emptying && excess >= 0 && m.type.cpus() <= allServices * Constants.EMPTIED_NEXT_SHARE;
                 if (m.emptying) {
                     move(m, machines, moves, now);
                 }
