Scheduler and Term split along what changes together; the record's codec below its users

Change: core.Ledger (life of placements), core.Blame, core.RunTimes out of Scheduler; control.Ends, control.Sizes, control.Summary out of Term; JobCodec and Records in org.hollypick.records. No behaviour changed.

--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -17,7 +17,8 @@
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.control.JobRecords;
-import org.hollypick.control.Records;
+import org.hollypick.records.JobCodec;
+import org.hollypick.records.Records;
 import org.hollypick.control.Term;
 import org.hollypick.core.Dependencies;
 import org.hollypick.core.Job;
@@ -228,7 +229,7 @@
         }
         Job job = owned(id);
         // While an end is in doubt it may be durable already, and another node may have told it: only the record knows.
-        return job == null || term.get().inDoubt(job) ? null : live(job);
+        return job == null || term.get().ends.inDoubt(job) ? null : live(job);
     }
 
     /** A terminal state that is durable; null without one. Nobody needs to write that a job is cancelled with one that it needs. */
@@ -296,7 +297,7 @@
         }
         Job job = owned(id);
         if (job != null) {
-            term.get().abort(job, done -> answer.accept(done ? Answer.of(200, body(id, Records.ABORTED, job.done.cardinality(), 0))
+            term.get().ends.abort(job, done -> answer.accept(done ? Answer.of(200, body(id, Records.ABORTED, job.done.cardinality(), 0))
                     : Answer.later("state service")));
             return;
         }
--- a/src/main/java/org/hollypick/control/Cascade.java
+++ b/src/main/java/org/hollypick/control/Cascade.java
@@ -9,6 +9,7 @@
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/hollypick/control/JobRecords.java
+++ b/src/main/java/org/hollypick/control/JobRecords.java
@@ -5,7 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.function.Consumer;
-import org.hollypick.api.JobCodec;
+import org.hollypick.records.JobCodec;
 import org.hollypick.cluster.Keys;
 import org.hollypick.cluster.Membership;
 import org.hollypick.cluster.View;
@@ -15,6 +15,7 @@
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.JobSpec.Rank;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 
 /** The durable records of jobs on any node: what they say of one another, and new ones. */
--- a/src/main/java/org/hollypick/control/Progress.java
+++ b/src/main/java/org/hollypick/control/Progress.java
@@ -19,6 +19,7 @@
 import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 
 /**
@@ -196,7 +197,7 @@
                 });
                 included.forEach(w -> {
                     w.done.stream().forEach(i -> w.part.job.committed.set(w.part.from + i));
-                    scheduler.progressCommitted(w.part.job);
+                    scheduler.ledger.progressCommitted(w.part.job);
                 });
             } else {
                 dirty.forEach(slot -> slot.doubtful |= r.status() != Reply.NOT_SENT);
--- a/src/main/java/org/hollypick/control/Registry.java
+++ b/src/main/java/org/hollypick/control/Registry.java
@@ -21,6 +21,7 @@
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -108,7 +108,7 @@
         giveBack(plan.returns(), "idle");
         plan.moves().forEach(p -> {
             LOG.info("move task={} from={}", p.taskId, p.machine.id);
-            scheduler.stop(p, 0);
+            scheduler.ledger.stop(p, 0);
         });
         pump.run();
     }
--- /dev/null
+++ b/src/main/java/org/hollypick/control/Summary.java
@@ -0,0 +1,54 @@
+package org.hollypick.control;
+
+import org.HdrHistogram.Histogram;
+import org.hollypick.config.Constants;
+import org.hollypick.core.Job;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.ledger.Machine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The line about the fleet as a whole that an owner logs now and then. */
+final class Summary {
+    private static final Logger LOG = LoggerFactory.getLogger(Summary.class);
+
+    private final Scheduler scheduler;
+    private final Rentals rentals;
+    /** How late the owner's loop runs, in milliseconds: what the node's processor share does to it. */
+    private final Histogram lateness = new Histogram(2);
+
+    Summary(Scheduler scheduler, Rentals rentals) {
+        this.scheduler = scheduler;
+        this.rentals = rentals;
+    }
+
+    /** The loop ran so long after the time before. */
+    void ran(long sinceMs) {
+        lateness.recordValue(Math.max(0, sinceMs - Constants.TICK_MS));
+    }
+
+    void log() {
+        double[] cores = new double[4]; // ordinary, spot, booting, used
+        int idle = 0;
+        int fetching = 0;
+        double serviceCores = 0;
+        for (Machine m : scheduler.machines.values()) {
+            cores[!m.up ? 2 : m.spot ? 1 : 0] += m.type.cpus();
+            cores[3] += m.usedCpus;
+            idle += m.up && m.idle() ? 1 : 0;
+            fetching += m.startingTasks();
+            serviceCores += m.serviceCpus();
+        }
+        double waiting = 0;
+        double waitingServices = 0;
+        for (Job job : scheduler.jobs.values()) {
+            double pending = job.waits() ? job.pending.cardinality() * job.spec.cpus() : 0;
+            waiting += job.spec.service() ? 0 : pending;
+            waitingServices += job.spec.service() ? pending : 0;
+        }
+        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} waiting_services={} load={} fetching={} late_p99={} late_max={}",
+                scheduler.baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting,
+                waitingServices, Math.round(rentals.load()), fetching, lateness.getValueAtPercentile(99), lateness.getMaxValue());
+        lateness.reset();
+    }
+}
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -1,18 +1,13 @@
 package org.hollypick.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
-import org.HdrHistogram.Histogram;
-import org.hollypick.api.JobCodec;
+import org.hollypick.records.JobCodec;
 import org.hollypick.cloud.CloudClient;
 import org.hollypick.cluster.Keys;
 import org.hollypick.cluster.View;
@@ -28,8 +23,8 @@
 import org.hollypick.core.ledger.Report;
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
-import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerClient;
 import org.slf4j.Logger;
@@ -58,8 +53,9 @@
     private final Runnable fence;
     private final Map<String, MachineType> types;
     private final Runnable resign;
-    /** Jobs whose cancellation went out and may be, or become, durable. */
-    private final Set<String> abortsInDoubt = new HashSet<>();
+    private final Sizes sizes;
+    private final Summary summary;
+    public final Ends ends;
 
     private boolean ended;
     private boolean pumping;
@@ -70,9 +66,6 @@
     private long nextList;
     private long nextSizes;
     private long nextSummary;
-    private String lastSizes = "";
-    /** How late this loop runs, in milliseconds: what the node's processor share does to it. */
-    private final Histogram lateness = new Histogram(2);
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
             CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, BooleanSupplier reachesState, Runnable fence,
@@ -95,26 +88,24 @@
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
         this.progress = new Progress(runtime, view, state, settings, scheduler);
         this.cascade = new Cascade(runtime, view, state, settings, baton);
+        this.sizes = new Sizes(view, settings, state, scheduler);
+        this.summary = new Summary(scheduler, rentals);
+        this.ends = new Ends(runtime, scheduler, dependencies, state, this::followDependencies);
     }
 
     /** Starts from the records; the view holds every change up to the roster's own, and older owners can make none after it. */
     public void start() {
-        Map<String, Double> sizes = new HashMap<>();
         List<String> keys = new ArrayList<>();
-        view.entries().forEach((key, e) -> {
-            if (key.startsWith(Keys.SIZES)) {
-                e.data().path("sizes").fields().forEachRemaining(f -> sizes.put(f.getKey(), f.getValue().asDouble()));
-            } else if (!key.startsWith(Keys.MACHINES)) {
+        view.entries().keySet().forEach(key -> {
+            if (!key.startsWith(Keys.MACHINES)) {
                 keys.add(key);
             }
         });
         registry.load(this::loadMachine);
         recordsChanged(keys);
         progress.load();
+        sizes.load();
         for (Job job : scheduler.jobs.values()) {
-            if (sizes.containsKey(job.spec.id())) {
-                scheduler.restoreSize(job, sizes.get(job.spec.id()));
-            }
             if (job.finished()) {
                 scheduler.progressDirty.add(job);
             }
@@ -177,11 +168,10 @@
                     }
                 }
             } else if (job != null) {
-                over(job, Records.status(e.data()));
+                ends.over(job, Records.status(e.data()));
             }
         }
         followDependencies();
-        pump();
     }
 
     /** Ends that are durable release what waited for them, or take it along. */
@@ -196,78 +186,9 @@
                 scheduler.follow(job, dependencies.ready(id), dependencies.rank(id));
             }
         }
-    }
-
-    private void over(Job job, String status) {
-        String id = job.spec.id();
-        scheduler.jobs.remove(id);
-        abortsInDoubt.remove(id);
-        if (status.equals(Records.ABORTED)) {
-            scheduler.abort(job, runtime.now());
-            dependencies.cancelled(id);
-        } else {
-            scheduler.close(job);
-            dependencies.done(id);
-        }
-        followDependencies();
         pump();
     }
 
-    /** Commits the end of a job; {@code done} gets true once it is durable, false if that isn't known. */
-    public void abort(Job job, Consumer<Boolean> done) {
-        commitEnd(job, Records.ABORTED, r -> {
-            LOG.info("abort job={} status={} baton={}", job.spec.id(), r.status(), baton);
-            if (r.ok()) {
-                over(job, Records.ABORTED);
-            }
-            done.accept(r.ok());
-        });
-    }
-
-    /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
-    private void commitEnd(Job job, String status, Consumer<Reply> reply) {
-        job.endsInDoubt++;
-        if (status.equals(Records.ABORTED)) {
-            abortsInDoubt.add(job.spec.id());
-        }
-        state.commit(ending(job, status), r -> {
-            if (r.status() != Reply.NO_ANSWER && --job.endsInDoubt == 0) {
-                abortsInDoubt.remove(job.spec.id());
-            }
-            reply.accept(r);
-        });
-    }
-
-    /** Whether another node may already tell an end of the job: its own, or the cancellation of one that it needs. */
-    public boolean inDoubt(Job job) {
-        return job.endsInDoubt > 0 || !abortsInDoubt.isEmpty() && dependencies.needsAny(job.spec.id(), abortsInDoubt);
-    }
-
-    private StateClient.Txn ending(Job job, String status) {
-        String id = job.spec.id();
-        return new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order).put(Keys.job(id), Records.over(status, job.done.cardinality()));
-    }
-
-    /** Writes the ends of the jobs that are finished. */
-    private void closeFinished() {
-        for (Job job : new ArrayList<>(scheduler.progressDirty)) {
-            if (!job.finished() || job.closing) {
-                continue;
-            }
-            scheduler.progressDirty.remove(job);
-            job.closing = true;
-            commitEnd(job, Records.DONE, r -> {
-                job.closing = false;
-                if (r.ok()) {
-                    LOG.info("job done job={} baton={}", job.spec.id(), baton);
-                    over(job, Records.DONE);
-                } else if (job.status == Job.Status.LIVE) {
-                    scheduler.progressDirty.add(job);
-                }
-            });
-        }
-    }
-
     private void register() {
         scheduler.toRegister.forEach(registry::add);
         scheduler.toRegister.clear();
@@ -286,7 +207,7 @@
             return;
         }
         long now = runtime.now();
-        lateness.recordValue(Math.max(0, now - lastTick - Constants.TICK_MS));
+        summary.ran(now - lastTick);
         if (now - lastTick > 4 * Constants.TICK_MS) {
             smoothSince = now; // this node itself was held up, so silence proves nothing yet
         }
@@ -307,17 +228,17 @@
             if (now >= nextFleet) {
                 nextFleet = now + Constants.FLEET_MS;
                 rentals.rentAndReturn(now);
-                if (scheduler.fenceDue(now)) {
+                if (scheduler.ledger.fenceDue(now)) {
                     fence.run();
                 }
             }
             if (now >= nextSummary) {
                 nextSummary = now + Constants.SUMMARY_MS;
-                summary();
+                summary.log();
             }
             if (now >= nextSizes) {
                 nextSizes = now + Constants.SIZES_MS;
-                writeSizes();
+                sizes.write();
             }
             pump();
         } else {
@@ -326,33 +247,6 @@
         runtime.after(Constants.TICK_MS, this::loop);
     }
 
-    private void summary() {
-        double[] cores = new double[4]; // ordinary, spot, booting, used
-        int idle = 0;
-        for (Machine m : scheduler.machines.values()) {
-            cores[!m.up ? 2 : m.spot ? 1 : 0] += m.type.cpus();
-            cores[3] += m.usedCpus;
-            idle += m.up && m.idle() ? 1 : 0;
-        }
-        int fetching = 0;
-        double serviceCores = 0;
-        double waiting = 0;
-        double waitingServices = 0;
-        for (Machine m : scheduler.machines.values()) {
-            fetching += m.startingTasks();
-            serviceCores += m.serviceCpus();
-        }
-        for (Job job : scheduler.jobs.values()) {
-            double pending = job.waits() ? job.pending.cardinality() * job.spec.cpus() : 0;
-            waiting += job.spec.service() ? 0 : pending;
-            waitingServices += job.spec.service() ? pending : 0;
-        }
-        LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} waiting_services={} load={} fetching={} late_p99={} late_max={}",
-                baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting, waitingServices, Math.round(rentals.load()), fetching,
-                lateness.getValueAtPercentile(99), lateness.getMaxValue());
-        lateness.reset();
-    }
-
     /** One look at what changed and its orders, shared by all events that come close together. */
     public void pump() {
         if (pumping || ended) {
@@ -374,34 +268,10 @@
             scheduler.freed.clear();
             freed.forEach(m -> scheduler.fill(m, now));
             workers.send();
-            closeFinished();
+            ends.closeFinished();
             register();
             progress.flush();
             cascade.flush();
         });
     }
-
-    private void writeSizes() {
-        ObjectNode record = Codec.object();
-        ObjectNode sizes = record.putObject("sizes");
-        // The value limit bounds it, the largest first; a size that is left out restarts at zero after a takeover.
-        int left = Records.room(settings) - Records.bytes(record);
-        for (Map.Entry<String, Double> e : scheduler.sizes().entrySet().stream()
-                .sorted((x, y) -> Double.compare(Math.abs(y.getValue()), Math.abs(x.getValue()))).toList()) {
-            double size = Math.round(e.getValue() * 10) / 10.0;
-            left -= e.getKey().length() + Double.toString(size).length() + 4; // quotes, colon and comma
-            if (left < 0) {
-                break;
-            }
-            sizes.put(e.getKey(), size);
-        }
-        String text = record.toString();
-        if (!text.equals(lastSizes)) {
-            state.commit(new StateClient.Txn().when(Keys.ROSTER, baton).put(Keys.sizes(settings.node()), record), r -> {
-                if (r.ok()) {
-                    lastSizes = text;
-                }
-            });
-        }
-    }
 }
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -76,8 +76,8 @@
         if (scheduler.freed.remove(m)) {
             scheduler.fill(m, now);
         }
-        List<Order> orders = limited(scheduler.orders(m));
-        scheduler.sentInAnswer(m, orders);
+        List<Order> orders = limited(scheduler.ledger.orders(m));
+        scheduler.ledger.sentInAnswer(m, orders);
         if (m.heard) {
             scheduler.ordersDirty.remove(m);
             scheduler.ordersUrgent.remove(m);
@@ -89,7 +89,7 @@
     private boolean accept(Machine m, Report r, boolean hello, long now) {
         m.lastReportAt = now;
         m.unanswered = 0;
-        return scheduler.report(m, r, hello, now);
+        return scheduler.ledger.report(m, r, hello, now);
     }
 
     /** An answer holds 64 KiB at most; what is left out follows with the next. */
@@ -118,13 +118,13 @@
         if (!acting.getAsBoolean() || m.directBusy || m.addr.isEmpty() || m.directAfter > runtime.now() || m.returning) {
             return;
         }
-        List<Order> orders = m.up ? limited(scheduler.orders(m)) : List.of();
+        List<Order> orders = m.up ? limited(scheduler.ledger.orders(m)) : List.of();
         // What may be cleared can wait for the machine's next report.
         if (m.heard && !probe && orders.stream().allMatch(o -> o.verb() == Order.Verb.FORGET)) {
             return;
         }
         long tenure = m.up ? m.tenure : 1;
-        scheduler.sentDirect(m, orders);
+        scheduler.ledger.sentDirect(m, orders);
         open++;
         client.command(m.addr, scheduler.baton, tenure, orders, r -> {
             open--;
@@ -138,7 +138,7 @@
 
     private void answered(Machine m, List<Order> orders, long tenure, Reply r) {
         boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.status() == Reply.NOT_SENT;
-        scheduler.directEnded(m, orders, tenure, settled);
+        scheduler.ledger.directEnded(m, orders, tenure, settled);
         if (r.status() != 200 && r.status() != 409) {
             m.unanswered++;
             m.directAfter = runtime.now() + Constants.DIRECT_PAUSE_MS;
--- /dev/null
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -0,0 +1,345 @@
+package org.hollypick.core;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.hollypick.config.Constants;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Order;
+import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.ledger.Placement.State;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.core.ledger.TaskReport;
+import org.hollypick.core.tyrex.Tyrex;
+
+/** The life of placements in one term: from the decision to start, through reports, to the certainty that nothing is there. */
+public final class Ledger {
+    private final Scheduler scheduler;
+    private final long baton;
+    private final TeamUse teamUse;
+    private final RunTimes runTimes;
+    private final Blame blame;
+    private long attempts;
+
+    Ledger(Scheduler scheduler, TeamUse teamUse, RunTimes runTimes) {
+        this.scheduler = scheduler;
+        this.baton = scheduler.baton;
+        this.teamUse = teamUse;
+        this.runTimes = runTimes;
+        this.blame = new Blame(scheduler.jobs);
+    }
+
+    // ---- reports ----
+
+    /**
+     * Takes in a worker's report. False if it is older than what is known or from a tenure that is over: it says nothing.
+     * {@code hello}: it came as a report, which no earlier answer to a report can still follow.
+     */
+    public boolean report(Machine m, Report r, boolean hello, long now) {
+        scheduler.lastNow = now;
+        if (m.up && !r.newerThan(m.tenure, m.tick) || Long.compareUnsigned(r.tenure(), m.minTenure) < 0) {
+            return false;
+        }
+        if (m.up && r.tenure() != m.tenure) {
+            loseAll(m); // a new tenure: all that was there is gone, and late orders of the old one are refused
+        }
+        if (!m.up || r.tenure() != m.tenure) {
+            m.tenureSince = now;
+        }
+        if (!m.up) {
+            m.up = true;
+            m.idleSince = now;
+            if (!m.registered) {
+                scheduler.toRegister.add(m);
+            }
+        }
+        m.tenure = r.tenure();
+        m.tick = r.tick();
+        if (!r.addr().isEmpty()) {
+            m.addr = r.addr();
+        }
+        m.reported = r.tasks();
+        if (hello) {
+            // A worker has one report in flight: the answer to the one before was taken or dropped by now.
+            m.placements.values().forEach(p -> p.viaHello = false);
+        }
+        m.beginReport();
+        for (TaskReport t : r.tasks()) {
+            Placement p = m.at(t.task(), t.attempt());
+            if (p == null) {
+                p = adopt(m, t, now);
+            }
+            if (p != null) {
+                m.listed(p);
+                update(p, t, now);
+            }
+        }
+        for (Placement p : m.unlisted()) {
+            if (p.state() != State.SENT || p.stop && !p.launchMayFollow()) {
+                remove(p);
+            }
+        }
+        // Only a report made under this baton is final: older direct orders are refused from then on.
+        if (r.baton() == baton && !m.heard) {
+            m.heard = true;
+            scheduler.passWanted = true;
+        }
+        if (!Double.isNaN(r.noticeS()) && !m.draining) {
+            drain(m, r.noticeS());
+        }
+        scheduler.ordersDirty.add(m);
+        return true;
+    }
+
+    private void drain(Machine m, double noticeS) {
+        m.draining = true;
+        for (Placement p : m.there()) {
+            JobSpec s = p.job.spec;
+            if (s.checkpointS() > 0 && !s.service()) {
+                stop(p, noticeS > s.saveS() ? Math.ceil(s.saveS()) : 0);
+            } else if (s.service() || noticeS < s.estimateS() / 4) {
+                stop(p, 0);
+            }
+        }
+        scheduler.passWanted = true;
+    }
+
+    /** A reported attempt that this term didn't launch: from an earlier owner, if its task isn't elsewhere. */
+    private Placement adopt(Machine m, TaskReport t, long now) {
+        int slash = t.task().lastIndexOf('/');
+        Job job = slash < 0 ? null : scheduler.jobs.get(t.task().substring(0, slash));
+        if (job == null || job.status != Job.Status.LIVE) {
+            return null;
+        }
+        int index;
+        try {
+            index = Integer.parseInt(t.task().substring(slash + 1));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+        if (index < 0 || index >= job.spec.tasks() || job.done.get(index) || m.placements.containsKey(t.attempt())) {
+            return null;
+        }
+        if (t.state() == State.EXITED ? !"done".equals(t.why()) || job.spec.service() : job.live.containsKey(index)) {
+            return null;
+        }
+        Placement p = new Placement(job, index, t.attempt(), m, now);
+        m.add(p);
+        if (t.state() != State.EXITED) {
+            job.placed(p);
+            teamUse.add(job.spec, 1);
+        }
+        return p;
+    }
+
+    private void update(Placement p, TaskReport t, long now) {
+        if (!p.there()) {
+            return;
+        }
+        if (t.state() == State.RUNNING && p.state() != State.RUNNING) {
+            p.runningAt = now;
+        }
+        if (t.state() == State.RUNNING || t.state() == State.SAVING) {
+            p.machine.images.put(p.job.spec.image(), now);
+        }
+        p.become(t.state());
+        if (t.state() == State.EXITED) {
+            exited(p, t.why(), now);
+        }
+    }
+
+    private void exited(Placement p, String why, long now) {
+        Machine m = p.machine;
+        Job job = p.job;
+        m.release(p);
+        boolean done = "done".equals(why) && !job.spec.service();
+        if (done) {
+            boolean first = !job.done.get(p.index);
+            job.done.set(p.index);
+            job.pending.clear(p.index);
+            Placement other = job.live.get(p.index);
+            if (other != null && other != p) {
+                stop(other, 0);
+            }
+            if (job.committed.get(p.index)) {
+                p.clearable = true;
+            } else {
+                job.uncommitted.add(p);
+            }
+            if (first) {
+                scheduler.progressDirty.add(job);
+                double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : job.spec.estimateS();
+                job.partialSize += ran;
+                if (p.runningAt > 0) {
+                    runTimes.finished(job.spec, ran);
+                }
+                for (Job mover : Tyrex.movers(scheduler.jobs.values())) {
+                    mover.moved = true;
+                    mover.partialSize = 0;
+                }
+            }
+            Blame.cleared(m, job);
+        } else {
+            p.clearable = true;
+            blame.ended(m, job, p.index, why, now);
+        }
+        freeTask(p);
+    }
+
+    void loseAll(Machine m) {
+        for (Placement p : new ArrayList<>(m.placements.values())) {
+            remove(p);
+        }
+        m.reported = List.of();
+    }
+
+    /** Nothing of it can be on its machine any more. */
+    private void remove(Placement p) {
+        p.machine.placements.remove(p.attempt);
+        p.machine.release(p);
+        p.job.uncommitted.remove(p);
+        if (p.there()) {
+            p.become(State.EXITED);
+            freeTask(p);
+        }
+    }
+
+    private void freeTask(Placement p) {
+        Job job = p.job;
+        if (job.unplaced(p)) {
+            teamUse.add(job.spec, -1);
+            if (job.status == Job.Status.LIVE && !job.done.get(p.index)) {
+                job.pending.set(p.index);
+                scheduler.passWanted = true;
+            }
+        }
+        if (p.machine.idle()) {
+            p.machine.idleSince = Math.max(p.machine.idleSince, scheduler.lastNow);
+        }
+        scheduler.freed.add(p.machine);
+    }
+
+    /** Everything in {@code job.committed} is durable; its exited attempts may be cleared. */
+    public void progressCommitted(Job job) {
+        for (Iterator<Placement> i = job.uncommitted.iterator(); i.hasNext();) {
+            Placement p = i.next();
+            if (job.committed.get(p.index)) {
+                p.clearable = true; // the order goes with the answer to the machine's next report
+                i.remove();
+            }
+        }
+    }
+
+    // ---- starts and stops ----
+
+    public void start(Job job, int index, Machine m, long now) {
+        if (attempts >= 1L << Constants.ATTEMPT_BITS) {
+            throw new IllegalStateException("out of attempt numbers under this baton");
+        }
+        long attempt = (baton << Constants.ATTEMPT_BITS) + attempts++;
+        Placement p = new Placement(job, index, attempt, m, now);
+        m.add(p);
+        job.placed(p);
+        teamUse.add(job.spec, 1);
+        wantOrders(p);
+    }
+
+    /** Orders for services go out first. */
+    private void wantOrders(Placement p) {
+        (p.job.spec.service() ? scheduler.ordersUrgent : scheduler.ordersDirty).add(p.machine);
+    }
+
+    public void stop(Placement p, double graceS) {
+        if (!p.stop || graceS < p.graceS) {
+            p.stop = true;
+            p.graceS = graceS;
+            if (graceS == 0) {
+                p.machine.release(p);
+                scheduler.freed.add(p.machine);
+            }
+            wantOrders(p);
+        }
+    }
+
+    // ---- orders ----
+
+    /** The difference between what the machine reported and what is wanted, as orders. */
+    public List<Order> orders(Machine m) {
+        List<Order> orders = new ArrayList<>();
+        List<Order> clears = new ArrayList<>();
+        for (TaskReport t : m.reported) {
+            Placement p = m.at(t.task(), t.attempt());
+            if (t.state() == State.EXITED) {
+                if (p == null || p.clearable && !p.launchMayFollow()) {
+                    clears.add(new Order(Order.Verb.FORGET, t.task(), t.attempt(), 0));
+                }
+            } else if (p == null) {
+                // Of no live job, or a second attempt: it goes. Unheard machines too; their tasks belong to no one else.
+                orders.add(new Order(Order.Verb.STOP, t.task(), t.attempt(), 0));
+            } else if (p.stop && (t.state() != State.SAVING || p.graceS == 0)) {
+                orders.add(new Order(Order.Verb.STOP, t.task(), t.attempt(), p.graceS));
+            }
+        }
+        orders.addAll(clears);
+        if (m.registered) {
+            for (Placement p : m.placements.values()) {
+                if (p.state() == State.SENT && !p.stop) {
+                    orders.add(new Order(Order.Verb.START, p.taskId, p.attempt, 0));
+                }
+            }
+        }
+        return orders;
+    }
+
+    /** The orders go out as the answer to a report. */
+    public void sentInAnswer(Machine m, List<Order> orders) {
+        for (Order o : orders) {
+            Placement p = m.at(o.task(), o.attempt());
+            if (o.verb() == Order.Verb.START && p != null) {
+                p.viaHello = true;
+            }
+        }
+    }
+
+    public void sentDirect(Machine m, List<Order> orders) {
+        m.directBusy = true;
+        for (Order o : orders) {
+            Placement p = m.at(o.task(), o.attempt());
+            if (o.verb() == Order.Verb.START && p != null) {
+                p.directInFlight = true;
+            }
+        }
+    }
+
+    /** A direct call ended. {@code settled}: it was executed, refused or never sent; otherwise it may be executed late. */
+    public void directEnded(Machine m, List<Order> orders, long tenure, boolean settled) {
+        m.directBusy = false;
+        for (Order o : orders) {
+            Placement p = m.at(o.task(), o.attempt());
+            if (o.verb() == Order.Verb.START && p != null) {
+                p.directInFlight = false;
+                if (!settled && m.tenure == tenure) {
+                    p.directDoubt = true;
+                }
+            }
+        }
+    }
+
+    /**
+     * Whether a new baton is due: a cancelled task's direct launch has been under way for so long that it might be executed
+     * after the job's time to be gone, and only a newer token makes workers refuse it; or attempt numbers are nearly used up.
+     */
+    public boolean fenceDue(long now) {
+        if (attempts > (1L << Constants.ATTEMPT_BITS) - 10_000) {
+            return true;
+        }
+        for (Machine m : scheduler.machines.values()) {
+            for (Placement p : m.placements.values()) {
+                if (p.job.status == Job.Status.ABORTED && p.state() == State.SENT && p.directDoubt && now - p.job.abortedAt > Constants.FENCE_MS) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -100,7 +100,7 @@
             if (choice == null) {
                 return;
             }
-            choice.victims().forEach(v -> scheduler.stop(v, 0));
+            choice.victims().forEach(v -> scheduler.ledger.stop(v, 0));
             start(job, i, choice.machine(), now);
         }
     }
@@ -129,7 +129,7 @@
 
     private void start(Job job, int index, Machine m, long now) {
         idleFirst -= m.first && m.idle() ? 1 : 0;
-        scheduler.start(job, index, m, now);
+        scheduler.ledger.start(job, index, m, now);
     }
 
     /** The next task that may start now, or -1. */
--- a/src/main/java/org/hollypick/records/JobCodec.java
+++ b/src/main/java/org/hollypick/records/JobCodec.java
@@ -1,4 +1,4 @@
-package org.hollypick.api;
+package org.hollypick.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
--- a/src/main/java/org/hollypick/records/Records.java
+++ b/src/main/java/org/hollypick/records/Records.java
@@ -1,4 +1,4 @@
-package org.hollypick.control;
+package org.hollypick.records;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -8,7 +8,6 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
-import org.hollypick.api.JobCodec;
 import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -35,7 +35,7 @@
         Machine m = scheduler.addMachine(String.format("n-%03d", machines++), TYPE, zone, spot, false, now);
         m.registered = true;
         m.images.put("img", now);
-        scheduler.report(m, new Report(m.id, "w:1", "t", zone, spot, 1, 1, 5, Double.NaN, List.of()), true, now);
+        scheduler.ledger.report(m, new Report(m.id, "w:1", "t", zone, spot, 1, 1, 5, Double.NaN, List.of()), true, now);
         return m;
     }
 
@@ -56,7 +56,7 @@
     private void allRun(long now) {
         for (Machine m : scheduler.machines.values()) {
             TaskReport[] tasks = m.placements.values().stream().map(p -> new TaskReport(p.taskId, p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
-            scheduler.report(m, new Report(m.id, "w:1", "t", m.zone, m.spot, 1, now, 5, Double.NaN, List.of(tasks)), true, now);
+            scheduler.ledger.report(m, new Report(m.id, "w:1", "t", m.zone, m.spot, 1, now, 5, Double.NaN, List.of(tasks)), true, now);
         }
     }
 
@@ -165,7 +165,7 @@
         scheduler.pass(0);
         allRun(1_000);
         fleet.plan(scheduler, TYPES, ZONES, 10_000);
-        fleet.plan(scheduler, TYPES, ZONES, 100_000).moves().forEach(p -> scheduler.stop(p, 0));
+        fleet.plan(scheduler, TYPES, ZONES, 100_000).moves().forEach(p -> scheduler.ledger.stop(p, 0));
         assertTrue(scheduler.machines.values().stream().anyMatch(m -> m.emptiedNext && m.usable()));
         Job late = service("req-late", 2, 0);
         scheduler.pass(101_000);
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -47,7 +47,7 @@
     private Machine reporting() {
         Machine m = machine("n-1", false);
         m.registered = true;
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        scheduler.ledger.report(m, report("n-1", 1, 1, 5), true, 0);
         return m;
     }
 
@@ -72,7 +72,7 @@
     void aSessionKnownFromADirectAnswerHasItsFullLease() {
         Machine m = reporting();
         m.answeredAt = 0;
-        scheduler.report(m, report("n-1", 2, 2, 5), false, LEASE_MS + 10_000);
+        scheduler.ledger.report(m, report("n-1", 2, 2, 5), false, LEASE_MS + 10_000);
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         launched(job, m, LEASE_MS + 10_000);
         scheduler.tick(LEASE_MS + 11_000);
@@ -86,12 +86,12 @@
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
-        List<Order> orders = scheduler.orders(m);
-        scheduler.sentDirect(m, orders);
-        scheduler.directEnded(m, orders, 1, false);
+        List<Order> orders = scheduler.ledger.orders(m);
+        scheduler.ledger.sentDirect(m, orders);
+        scheduler.ledger.directEnded(m, orders, 1, false);
         TaskReport failed = new TaskReport(p.taskId, p.attempt, State.EXITED, "error");
-        scheduler.report(m, report("n-1", 1, 2, 5, failed), true, 1_000);
-        assertEquals(0, clears(scheduler.orders(m)));
+        scheduler.ledger.report(m, report("n-1", 1, 2, 5, failed), true, 1_000);
+        assertEquals(0, clears(scheduler.ledger.orders(m)));
         assertTrue(job.pending.get(0), "an exited attempt can't start again, so the task is free");
     }
 
@@ -101,12 +101,12 @@
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
-        scheduler.sentInAnswer(m, scheduler.orders(m));
+        scheduler.ledger.sentInAnswer(m, scheduler.ledger.orders(m));
         TaskReport failed = new TaskReport(p.taskId, p.attempt, State.EXITED, "error");
-        scheduler.report(m, report("n-1", 1, 2, 5, failed), false, 100);
-        assertEquals(0, clears(scheduler.orders(m)));
-        scheduler.report(m, report("n-1", 1, 3, 5, failed), true, 3_000);
-        assertEquals(1, clears(scheduler.orders(m)));
+        scheduler.ledger.report(m, report("n-1", 1, 2, 5, failed), false, 100);
+        assertEquals(0, clears(scheduler.ledger.orders(m)));
+        scheduler.ledger.report(m, report("n-1", 1, 3, 5, failed), true, 3_000);
+        assertEquals(1, clears(scheduler.ledger.orders(m)));
     }
 
     @Test
@@ -114,28 +114,28 @@
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
-        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "done")), true, 100);
+        scheduler.ledger.report(m, report("n-1", 1, 2, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "done")), true, 100);
         assertTrue(job.finished());
-        assertEquals(0, clears(scheduler.orders(m)));
+        assertEquals(0, clears(scheduler.ledger.orders(m)));
         scheduler.close(job);
-        assertEquals(1, clears(scheduler.orders(m)));
+        assertEquals(1, clears(scheduler.ledger.orders(m)));
     }
 
     @Test
     void afterATakeoverOlderJobsWaitForEveryRegisteredMachine() {
         Machine heard = machine("n-1", true);
         Machine silent = machine("n-2", true);
-        scheduler.report(heard, report("n-1", 1, 1, 5), true, 0);
+        scheduler.ledger.report(heard, report("n-1", 1, 1, 5), true, 0);
         Job older = scheduler.addJob(spec("req-1", 1, false), 1, 4);
         Job younger = scheduler.addJob(spec("req-2", 1, false), 6, 5);
         scheduler.pass(0);
         assertNull(older.live.get(0));
         assertNotNull(younger.live.get(0));
         // a report made before the new baton was seen proves nothing: an older order may still be executed
-        scheduler.report(silent, report("n-2", 1, 1, 4), true, 1_000);
+        scheduler.ledger.report(silent, report("n-2", 1, 1, 4), true, 1_000);
         scheduler.pass(1_000);
         assertNull(older.live.get(0));
-        scheduler.report(silent, report("n-2", 1, 2, 5), true, 2_000);
+        scheduler.ledger.report(silent, report("n-2", 1, 2, 5), true, 2_000);
         scheduler.pass(2_000);
         assertNotNull(older.live.get(0));
     }
@@ -155,7 +155,7 @@
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
         scheduler.tick(LEASE_MS + 2_000);
-        assertFalse(scheduler.report(m, report("n-1", 1, 9, 5, new TaskReport(p.taskId, p.attempt, State.RUNNING, "")), true, LEASE_MS + 3_000));
+        assertFalse(scheduler.ledger.report(m, report("n-1", 1, 9, 5, new TaskReport(p.taskId, p.attempt, State.RUNNING, "")), true, LEASE_MS + 3_000));
         assertTrue(job.pending.get(0));
     }
 
@@ -171,7 +171,7 @@
         Scheduler limited = new Scheduler(5, settings(Map.of("team", new Settings.Team("team", 0, 4, 0, 0))), 0.3, 0);
         Machine m = limited.addMachine("n-1", TYPE, "a", true, false, 0);
         m.registered = true;
-        limited.report(m, report("n-1", 1, 1, 5), true, 0);
+        limited.ledger.report(m, report("n-1", 1, 1, 5), true, 0);
         Job job = limited.addJob(spec("req-1", 4, false), 1, 5);
         limited.pass(0);
         assertEquals(2, job.live.size());
@@ -187,14 +187,14 @@
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         launched(job, m, 0);
-        List<Order> orders = scheduler.orders(m);
-        scheduler.sentDirect(m, orders);
-        scheduler.directEnded(m, orders, 1, false);
+        List<Order> orders = scheduler.ledger.orders(m);
+        scheduler.ledger.sentDirect(m, orders);
+        scheduler.ledger.directEnded(m, orders, 1, false);
         scheduler.abort(job, 1_000);
-        assertFalse(scheduler.fenceDue(2_000));
-        assertTrue(scheduler.fenceDue(20_000));
-        scheduler.report(m, report("n-1", 2, 2, 5), true, 21_000);
-        assertFalse(scheduler.fenceDue(22_000));
+        assertFalse(scheduler.ledger.fenceDue(2_000));
+        assertTrue(scheduler.ledger.fenceDue(20_000));
+        scheduler.ledger.report(m, report("n-1", 2, 2, 5), true, 21_000);
+        assertFalse(scheduler.ledger.fenceDue(22_000));
     }
 
     @Test
@@ -203,10 +203,10 @@
         Job low = scheduler.addJob(spec("req-1", 4, false), 1, 5);
         scheduler.pass(0);
         TaskReport[] running = low.live.values().stream().map(p -> new TaskReport(p.taskId, p.attempt, State.RUNNING, "")).toArray(TaskReport[]::new);
-        scheduler.report(m, report("n-1", 1, 2, 5, running), true, 100);
+        scheduler.ledger.report(m, report("n-1", 1, 2, 5, running), true, 100);
         scheduler.addJob(spec("req-2", 1, true), 2, 5);
         scheduler.pass(100);
-        List<Order> orders = scheduler.orders(m);
+        List<Order> orders = scheduler.ledger.orders(m);
         assertEquals(Order.Verb.STOP, orders.get(0).verb());
         assertEquals(Order.Verb.START, orders.get(orders.size() - 1).verb());
         assertTrue(orders.get(orders.size() - 1).task().startsWith("req-2/"));
@@ -215,7 +215,7 @@
     private void fail(Machine m, Job job, long tick, long now) {
         Placement p = job.live.values().iterator().next();
         assertEquals(m, p.machine);
-        scheduler.report(m, report(m.id, 1, tick, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "error")), true, now);
+        scheduler.ledger.report(m, report(m.id, 1, tick, 5, new TaskReport(p.taskId, p.attempt, State.EXITED, "error")), true, now);
     }
 
     /** Two jobs that fail on one machine alone speak against the machine; what runs there goes on. */
@@ -229,7 +229,7 @@
         Placement running = good.live.get(0);
         Placement a = one.live.get(0);
         Placement b = two.live.get(0);
-        scheduler.report(m, report("n-1", 1, 2, 5, new TaskReport(running.taskId, running.attempt, State.RUNNING, ""),
+        scheduler.ledger.report(m, report("n-1", 1, 2, 5, new TaskReport(running.taskId, running.attempt, State.RUNNING, ""),
                 new TaskReport(a.taskId, a.attempt, State.EXITED, "error"), new TaskReport(b.taskId, b.attempt, State.EXITED, "error")), true, 100);
         assertTrue(m.faulty);
         assertFalse(running.stop);
@@ -246,7 +246,7 @@
         scheduler.pass(0);
         fail(m, one, 2, 100);
         n.registered = true;
-        scheduler.report(n, report("n-2", 1, 1, 5), true, 200);
+        scheduler.ledger.report(n, report("n-2", 1, 1, 5), true, 200);
         scheduler.pass(10_000);
         fail(n, one, 2, 10_100);
         Job two = scheduler.addJob(spec("req-2", 1, false), 2, 5);
@@ -260,7 +260,7 @@
     @Test
     void aMachineThatWentWhileItWasRegisteredGetsNothing() {
         Machine m = machine("n-1", false);
-        scheduler.report(m, report("n-1", 1, 1, 5), true, 0);
+        scheduler.ledger.report(m, report("n-1", 1, 1, 5), true, 0);
         scheduler.machineGone("n-1");
         scheduler.registered(m);
         assertFalse(scheduler.freed.contains(m));
--- a/src/test/java/org/hollypick/PlannerTest.java
+++ b/src/test/java/org/hollypick/PlannerTest.java
@@ -37,7 +37,7 @@
         for (int i = 0; i < machines; i++) {
             Machine m = scheduler.addMachine("n-" + i, random.nextBoolean() ? SMALL : LARGE, random.nextBoolean() ? "a" : "b", random.nextBoolean(), false, 0);
             m.registered = random.nextInt(10) > 0;
-            scheduler.report(m, report(m, 1), true, 0);
+            scheduler.ledger.report(m, report(m, 1), true, 0);
             for (int k = 0; k < 3; k++) {
                 if (random.nextBoolean()) {
                     m.images.put("img-" + k, 0);
@@ -58,7 +58,7 @@
             if (round == 0) {
                 scheduler.pass(10);
                 for (Machine m : scheduler.machines.values()) {
-                    scheduler.report(m, report(m, 2), true, 1_000 + random.nextInt(5_000));
+                    scheduler.ledger.report(m, report(m, 2), true, 1_000 + random.nextInt(5_000));
                 }
             }
         }
@@ -140,7 +140,7 @@
                 }
             }
             if (best != null) {
-                s.start(job, index, best, now);
+                s.ledger.start(job, index, best, now);
                 return true;
             }
         }
@@ -186,8 +186,8 @@
         if (best == null) {
             return false;
         }
-        bestVictims.forEach(p -> s.stop(p, 0));
-        s.start(job, index, best, now);
+        bestVictims.forEach(p -> s.ledger.stop(p, 0));
+        s.ledger.start(job, index, best, now);
         return true;
     }
 }
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/ReplayTest.java
@@ -0,0 +1,33 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.junit.jupiter.api.Test;
+
+/** A seed tells the whole day: without that, no failure that was found could be looked at again. */
+class ReplayTest {
+    @Test
+    void theSameSeedPlaysTheSameDay() {
+        List<String> first = digests();
+        assertEquals(first, digests());
+        System.out.println("days " + first);
+    }
+
+    private static List<String> digests() {
+        List<String> digests = new ArrayList<>();
+        for (int seed = 1; seed <= 6; seed++) {
+            Day day = new Day(seed, seed % 3 == 0 ? 12 : 1, null, new Day.Limits(2_048, 4, 25), (r, s) -> new Node(r, s, OperatorSettings.defaults()));
+            day.submitSome(30, 100_000);
+            day.pipelines(6, 90_000);
+            day.world.at(60_000, day::tighten);
+            day.drawFaults(9, 20_000, 150_000);
+            day.play(240_000);
+            digests.add(day.world.digest());
+        }
+        return digests;
+    }
+}
--- a/src/test/java/org/hollypick/sim/World.java
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -1,6 +1,9 @@
 package org.hollypick.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,6 +45,8 @@
     private final Map<String, List<Runnable>> held = new HashMap<>();
     /** Chance that a delivered request is kept back and executed up to a minute later, its answer lost. */
     double lateShare;
+    private String digest;
+    private final Hasher played = Hashing.murmur3_128().newHasher();
 
     World(long seed) {
         random = new Random(seed);
@@ -80,8 +85,17 @@
         });
     }
 
+    /** A digest of every message of the day so far: the same seed and the same decisions give the same one. */
+    String digest() {
+        if (digest == null) {
+            digest = played.hash().toString();
+        }
+        return digest;
+    }
+
     /** Sends a request from one host to an address; the reply comes exactly once. */
     void send(String from, Call call, Consumer<Reply> reply) {
+        played.putLong(now).putString(from + call.address() + call.method() + call.path() + call.body(), StandardCharsets.UTF_8);
         boolean[] over = {false};
         Consumer<Reply> once = r -> {
             if (!over[0]) {
