--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -8,6 +8,7 @@
 import org.hollypick.api.UserApi;
 import org.hollypick.cloud.CloudClient;
 import org.hollypick.cluster.Membership;
+import org.hollypick.cluster.Keeper;
 import org.hollypick.cluster.Keys;
 import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
@@ -21,6 +22,7 @@
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerClient;
 import org.hollypick.worker.WorkerCodec;
@@ -42,6 +44,7 @@
     private final Dependencies dependencies;
     private final JobRecords jobs;
     private final UserApi users;
+    private final Keeper keeper;
     /** Shared with the term; prices in it follow the cloud. */
     private final Map<String, MachineType> types = new HashMap<>();
     private Term term;
@@ -61,12 +64,14 @@
         this.membership = new Membership(runtime, state, settings, view, this::leadership);
         this.dependencies = dependencies;
         this.jobs = new JobRecords(runtime, settings, state, view, membership, dependencies);
+        this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled, this::kept);
         this.users = new UserApi(runtime, settings, view, membership, jobs, dependencies, () -> term, () -> types.isEmpty() ? null : types);
     }
 
     public void start() {
         LOG.info("start node={} zone={}", settings.node(), settings.zone());
         membership.start();
+        keeper.start();
         view.load();
         refreshTypes();
     }
@@ -157,6 +162,18 @@
             answer.accept(Answer.of(200, Codec.object().put("promised", membership.promise(baton)).put("reaches_state", membership.reachesState())));
             return;
         }
+        if (path.equals("/keep") && method.equals("POST")) {
+            JsonNode body = Codec.read(bytes, true);
+            boolean own = body != null && term != null && term.acting() && Codec.u64(body.path("baton")) == term.baton;
+            answer.accept(own ? term.keep(body.path("node").asText(), Codec.u64(body.path("epoch")), Codec.u64(body.path("echo")), body.path("kept").asBoolean())
+                    : Answer.later("not the owner under that baton"));
+            return;
+        }
+        if (path.equals("/reach") && method.equals("POST")) {
+            JsonNode body = Codec.read(bytes, true);
+            Term.reach(runtime, body == null ? Codec.object() : body, membership.reachesState(), answer);
+            return;
+        }
         if (path.equals("/jobs") && method.equals("POST")) {
             answer.accept(users.meshStatus(Codec.read(bytes, true)));
         } else if (path.startsWith("/jobs/") && path.endsWith("/abort") && method.equals("POST")) {
@@ -166,6 +183,19 @@
         }
     }
 
+    /** The user of the job was told, or may have been told, that it is cancelled; or will be soon. */
+    private boolean cancelled(String id) {
+        View.Entry e = view.get(Keys.job(id));
+        return dependencies.isCancelled(id) || term != null && term.ends.cancellationInDoubt(id)
+                || e != null && Records.isOver(e.data()) && Records.status(e.data()).equals(Records.ABORTED);
+    }
+
+    private void kept(long now) {
+        if (term != null) {
+            term.scheduler.leases.keptByItself(now);
+        }
+    }
+
     private static Answer notAllowed() {
         return Answer.error(405, "method not allowed");
     }
@@ -180,6 +210,13 @@
             Report report = WorkerCodec.report(body);
             return report == null ? Answer.error(400, "not a report") : term.hello(report);
         }
+        if (keeper.keeping()) {
+            Report report = WorkerCodec.report(body);
+            Answer kept = report == null ? null : keeper.answer(report);
+            if (kept != null) {
+                return kept;
+            }
+        }
         String leader = membership.leader();
         if (leader == null || leader.equals(settings.node())) {
             return Answer.later("not entitled to act");
--- a/src/main/java/org/hollypick/cli/Main.java
+++ b/src/main/java/org/hollypick/cli/Main.java
@@ -4,6 +4,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import org.hollypick.Node;
 import org.hollypick.config.ConfigException;
 import org.hollypick.config.Constants;
@@ -68,20 +69,50 @@
         return 0;
     }
 
-    /** Starts the node; it runs until the process is killed. */
+    /**
+     * Starts the node; it runs until the process is killed. Everything after the worker's creation happens on its I/O thread, while
+     * the calling thread only waits: where system calls of the process are rewritten while it runs, one thread reading the jar beside another
+     * that reads sockets ended about one start in a hundred (docs/incidents, native-read). So no class is loaded beside the running loop.
+     */
     static Undertow serve(Settings settings, OperatorSettings operator) throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+        CompletableFuture<Undertow> started = new CompletableFuture<>();
+        Starter starter = new Starter(settings, operator, started);
+        starter.worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
                 .getMap());
-        DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
-        Network network = new Network(worker.getIoThread(), buffers, (int) (settings.sockets() * Constants.IDLE_SOCKETS));
-        Node node = new Node(network, settings, operator);
-        Undertow server = HttpServer.start(worker, buffers, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
-        network.after(0, node::start);
-        return server;
+        starter.worker.getIoThread().execute(starter);
+        return started.get();
+    }
+
+    /** A named class, loaded before the worker runs: a lambda would be linked beside it. */
+    private static final class Starter implements Runnable {
+        private final Settings settings;
+        private final OperatorSettings operator;
+        private final CompletableFuture<Undertow> started;
+        private XnioWorker worker;
+
+        Starter(Settings settings, OperatorSettings operator, CompletableFuture<Undertow> started) {
+            this.settings = settings;
+            this.operator = operator;
+            this.started = started;
+        }
+
+        @Override
+        public void run() {
+            try {
+                DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
+                Network network = new Network(worker.getIoThread(), buffers, (int) (settings.sockets() * Constants.IDLE_SOCKETS));
+                Node node = new Node(network, settings, operator);
+                Undertow server = HttpServer.start(worker, buffers, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
+                network.after(0, node::start);
+                started.complete(server);
+            } catch (RuntimeException | Error e) {
+                started.completeExceptionally(e);
+            }
+        }
     }
 }
--- a/src/main/java/org/hollypick/cloud/CloudClient.java
+++ b/src/main/java/org/hollypick/cloud/CloudClient.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
@@ -18,7 +19,7 @@
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
 
-/** The cloud's protocol, inside its request limit. Over the limit a call isn't sent; the loops try again. */
+/** The cloud's protocol, inside its request limit. Over the limit a call isn't sent; the loops try again. {@code still}: asked when it is sent. */
 public final class CloudClient {
     private final Runtime runtime;
     private final String address;
@@ -58,16 +59,16 @@
         });
     }
 
-    public void hire(String request, String type, String zone, boolean spot, int count, Consumer<Reply> reply) {
+    public void hire(String request, String type, String zone, boolean spot, int count, BooleanSupplier still, Consumer<Reply> reply) {
         ObjectNode body = Codec.object().put("hire", request).put("flavour", type).put("hall", zone).put("lendable", spot).put("number", count);
-        send(Call.of(address, "POST", "/hosts", body, Constants.CLOUD_TIMEOUT_MS), reply);
+        send(Call.of(address, "POST", "/hosts", body, Constants.CLOUD_TIMEOUT_MS).only(still), reply);
     }
 
-    public void giveBack(Collection<String> machines, Consumer<Reply> reply) {
+    public void giveBack(Collection<String> machines, BooleanSupplier still, Consumer<Reply> reply) {
         ObjectNode body = Codec.object();
         ArrayNode names = body.putArray("bothies");
         machines.forEach(names::add);
-        send(Call.of(address, "POST", "/hosts/return", body, Constants.CLOUD_TIMEOUT_MS), reply);
+        send(Call.of(address, "POST", "/hosts/return", body, Constants.CLOUD_TIMEOUT_MS).only(still), reply);
     }
 
     public void list(String from, Consumer<Reply> reply) {
--- /dev/null
+++ b/src/main/java/org/hollypick/cluster/Keeper.java
@@ -0,0 +1,153 @@
+package org.hollypick.cluster;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongConsumer;
+import java.util.function.Predicate;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Leases;
+import org.hollypick.core.ledger.Order;
+import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.core.ledger.TaskReport;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.worker.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the workers' leases alive on a controller that is cut off, with them, from the state service and the owner. It has the owner's
+ * grant for that, for a while; it orders nothing but the end of tasks whose job is cancelled (docs/safety.md, "Kept leases").
+ */
+public final class Keeper {
+    private static final Logger LOG = LoggerFactory.getLogger(Keeper.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final View view;
+    private final Membership membership;
+    private final Predicate<String> cancelled;
+    private final LongConsumer keptByOwner;
+    private final long windowMs;
+
+    private long grantedBaton;
+    private long grantedUntil;
+    /** When the owner last answered. */
+    private long contactAt;
+    private long echo;
+    /** How many answers it has given, and of how many of them the owner knows. */
+    private long kept;
+    private long told;
+    private boolean announced;
+
+    /** {@code cancelled}: jobs whose tasks are to end; {@code keptByOwner}: hears of leases that an owner renewed without being entitled. */
+    public Keeper(Runtime runtime, Settings settings, View view, Membership membership, Predicate<String> cancelled, LongConsumer keptByOwner) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.view = view;
+        this.membership = membership;
+        this.cancelled = cancelled;
+        this.keptByOwner = keptByOwner;
+        this.windowMs = Leases.windowMs(settings);
+        this.contactAt = runtime.now();
+    }
+
+    public void start() {
+        if (windowMs > 0) {
+            ask();
+        }
+    }
+
+    private void ask() {
+        long baton = membership.rosterStamp();
+        String owner = owner();
+        if (owner != null && view.loaded()) {
+            long sent = runtime.now();
+            long telling = kept;
+            ObjectNode body = Codec.object().put("node", settings.node()).put("baton", baton).put("epoch", view.epoch()).put("echo", echo)
+                    .put("kept", telling > told);
+            runtime.call(new Call(owner, "POST", "/keep", body, Constants.MESH_TIMEOUT_MS, true), r -> answered(r, baton, sent, telling));
+        }
+        runtime.after(Constants.KEEP_EVERY_MS, this::ask);
+    }
+
+    private void answered(Reply r, long baton, long sent, long telling) {
+        if (!r.ok() || Codec.u64(r.body().path("baton")) != baton) {
+            return;
+        }
+        contactAt = runtime.now();
+        echo = Codec.u64(r.body().path("number"));
+        told = Math.max(told, telling);
+        if (r.body().path("granted").asBoolean()) {
+            grantedBaton = baton;
+            grantedUntil = sent + Membership.certainly(windowMs);
+        }
+    }
+
+    private String owner() {
+        String leader = membership.leader();
+        for (Settings.Sibling s : settings.siblings()) {
+            if (s.node().equals(leader)) {
+                return s.addr();
+            }
+        }
+        return null;
+    }
+
+    /** Until when this node may keep leases under the roster that it knows; for an owner: since it was last entitled. */
+    private long until() {
+        long own = membership.baton();
+        if (own != 0) {
+            return membership.entitledUntil(own) + Membership.certainly(windowMs);
+        }
+        return grantedBaton == membership.rosterStamp() ? grantedUntil : Leases.NEVER;
+    }
+
+    private boolean mayKeep() {
+        return runtime.now() < until();
+    }
+
+    /** Whether reports are to be answered here: the owner and the state service are both out of reach, and the right is there. */
+    public boolean keeping() {
+        boolean lost = membership.baton() != 0 || runtime.now() - contactAt > Constants.KEEP_LOST_MS;
+        boolean keeping = windowMs > 0 && lost && !membership.reachesState() && mayKeep();
+        if (keeping != announced) {
+            announced = keeping;
+            LOG.info("{} leases baton={}", keeping ? "keeping" : "no longer keeping", membership.rosterStamp());
+        }
+        return keeping;
+    }
+
+    /** The answer to a worker that has nobody else; null if it has seen a newer baton, since it would have to drop the answer. */
+    public Answer answer(Report report) {
+        long baton = membership.rosterStamp();
+        if (Long.compareUnsigned(report.baton(), baton) > 0) {
+            return null;
+        }
+        kept++;
+        if (membership.baton() != 0) {
+            keptByOwner.accept(runtime.now());
+        }
+        List<Order> orders = new ArrayList<>();
+        for (TaskReport t : report.tasks()) {
+            int slash = t.task().lastIndexOf('/');
+            if (t.state() != Placement.State.EXITED && slash > 0 && cancelled.test(t.task().substring(0, slash)) && orders.size() < Constants.ORDERS_MAX) {
+                orders.add(new Order(Order.Verb.STOP, t.task(), t.attempt(), 0));
+            }
+        }
+        return Answer.of(200, WorkerCodec.orders(baton, orders)).only(this::mayKeep);
+    }
+
+    /** The owner's answer to another controller that asks. */
+    public static Answer told(long baton, long number, boolean granted) {
+        JsonNode body = Codec.object().put("baton", baton).put("number", number).put("granted", granted);
+        return Answer.of(200, body);
+    }
+}
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -5,6 +5,7 @@
 import java.util.TreeSet;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
+import org.hollypick.core.Leases;
 import org.hollypick.io.Call;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
@@ -96,7 +97,7 @@
     }
 
     /** How long a time that runs on another clock certainly lasts here. */
-    private static long certainly(long ms) {
+    static long certainly(long ms) {
         return (long) (ms * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
     }
 
@@ -240,6 +241,11 @@
         return entitled && baton != 0 && baton == baton();
     }
 
+    /** Until when this node may, or might, act as leader under this baton. */
+    long entitledUntil(long baton) {
+        return Math.max(held ? holdUntil : Leases.NEVER, promisedBaton == baton ? promisedUntil : Leases.NEVER);
+    }
+
     /** The roster's stamp if the roster names this very incarnation, else 0. */
     public long baton() {
         View.Entry roster = view.get(Keys.ROSTER);
--- a/src/main/java/org/hollypick/cluster/View.java
+++ b/src/main/java/org/hollypick/cluster/View.java
@@ -48,6 +48,11 @@
         return loaded;
     }
 
+    /** Every change up to this one is in. */
+    public long epoch() {
+        return epoch;
+    }
+
     public Entry get(String key) {
         return entries.get(key);
     }
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -36,6 +36,36 @@
     /** Milliseconds after a cancellation until a launch still under way calls for a new baton; a third of the time to be gone. */
     public static final long FENCE_MS = 15_000;
 
+    // ---- machines that only this owner can't reach ----
+    /** Milliseconds between two questions to the other controllers about such machines. */
+    public static final long REACH_EVERY_MS = 500;
+    /** Machines in one such question at most: each costs the asked one a call. */
+    public static final int REACH_MACHINES = 16;
+    /** Milliseconds for the asked controller's own question to a machine: its answer should be there before the owner's second try is over. */
+    public static final long REACH_INSPECT_MS = 700;
+    /** Milliseconds for the whole question. */
+    public static final long REACH_TIMEOUT_MS = 1_200;
+    /** Milliseconds for which it counts that another controller reached a machine. */
+    public static final long REACH_VALID_MS = 3_000;
+    /** Milliseconds for which a machine that others reach isn't returned, if the lead stays: its lease runs out without an owner's answers. */
+    public static final long REACH_PATIENCE_MS = 10_000;
+    /** Machines that others reach and this owner doesn't, from which on another should lead: two may be chance, packets lost or a slow machine. */
+    public static final int REACH_AT_FAULT = 3;
+
+    // ---- kept leases ----
+    /** Milliseconds between two questions of a controller to the owner whether it may keep leases: one small call a second. */
+    public static final long KEEP_EVERY_MS = 1_000;
+    /** Milliseconds without an answer of the owner after which a controller counts as cut off from it: two questions and more. */
+    public static final long KEEP_LOST_MS = 2_500;
+    /** Milliseconds of a cancelled task's time that are left when a kept lease ends: to find and end what an order still under way started. */
+    public static final long KEEP_MARGIN_MS = 3_000;
+    /** Milliseconds below which keeping isn't worth anything: workers report every few seconds. */
+    public static final long KEEP_LEAST_MS = 3_000;
+    /** Answers of an owner that it remembers the times of, by controller: more are never under way. */
+    public static final int KEEP_ANSWERS = 8;
+    /** Milliseconds added to a worker's lease before it counts as over: its own clock's steps. */
+    public static final long LEASE_MARGIN_MS = 500;
+
     // ---- calls ----
     /** Milliseconds for a call to the state service; normal answers take 10 ms, a few hundred at times. */
     public static final long STATE_TIMEOUT_MS = 2_000;
@@ -165,6 +195,10 @@
     public static final double SILENT_SHARE = 0.34;
     /** The same share from which on the node takes itself to be cut off, and another should lead: with a zone lost others fare no better. */
     public static final double CUT_OFF_SHARE = 0.9;
+    /** Milliseconds after most machines, or most of a zone, were silent together before any of them counts as lost: they come back one by one. */
+    public static final long TROUBLE_OVER_MS = 6_000;
+    /** Machines of a zone that must leave questions open before it counts as dark. */
+    public static final int DARK_MACHINES = 3;
     /** Milliseconds after takeover before silence counts: every machine is asked at once, twice and more. */
     public static final long SILENT_GRACE_MS = 3_000;
     /** Milliseconds a machine may be listed as running without a first report. */
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -8,6 +8,7 @@
 import org.hollypick.core.Dependencies;
 import org.hollypick.core.Job;
 import org.hollypick.core.Scheduler;
+import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
 import org.hollypick.records.Records;
@@ -27,6 +28,8 @@
     private final Runnable changed;
     /** Jobs whose cancellation went out and may be, or become, durable. */
     private final Set<String> abortsInDoubt = new HashSet<>();
+    /** The newest change by which a job was cancelled in this term, as far as this node knows. */
+    private long cancelledAt;
 
     Ends(Runtime runtime, Scheduler scheduler, Dependencies dependencies, StateClient state, Runnable changed) {
         this.baton = scheduler.baton;
@@ -57,6 +60,7 @@
         commit(job, Records.ABORTED, r -> {
             LOG.info("abort job={} status={} baton={}", job.spec.id(), r.status(), baton);
             if (r.ok()) {
+                cancelledAt(Codec.u64(r.body().path("epoch")));
                 over(job, Records.ABORTED);
             }
             done.accept(r.ok());
@@ -80,6 +84,26 @@
         });
     }
 
+    private void cancelledAt(long epoch) {
+        cancelledAt = Long.compareUnsigned(epoch, cancelledAt) > 0 ? epoch : cancelledAt;
+    }
+
+    /** A cancellation of this term was found in the records. */
+    void cancelled(Job job, long stamp) {
+        cancelledAt(stamp);
+        over(job, Records.ABORTED);
+    }
+
+    /** Whether whoever has followed the records up to there knows every cancellation that may have been told to anyone. */
+    boolean allCancelledKnown(long epoch) {
+        return abortsInDoubt.isEmpty() && Long.compareUnsigned(epoch, cancelledAt) >= 0;
+    }
+
+    /** Its user asked to cancel it, and that may be durable. */
+    public boolean cancellationInDoubt(String id) {
+        return abortsInDoubt.contains(id);
+    }
+
     /** Whether another node may already tell an end of the job: its own, or the cancellation of one that it needs. */
     public boolean inDoubt(Job job) {
         return job.endsInDoubt > 0 || !abortsInDoubt.isEmpty() && dependencies.needsAny(job.spec.id(), abortsInDoubt);
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -73,7 +73,7 @@
             return;
         }
         LOG.info("return machines={} why={}", names, why);
-        cloud.giveBack(names, r -> {
+        cloud.giveBack(names, acting, r -> {
             names.forEach(returning::remove);
             for (String id : names) {
                 if (r.ok()) {
@@ -89,7 +89,8 @@
         return fleet.load();
     }
 
-    void rentAndReturn(long now) {
+    /** {@code dark}: zones in which nothing is rented now. */
+    void rentAndReturn(Set<String> dark, long now) {
         // Machines whose return wasn't answered: again, until it is.
         giveBack(scheduler.machines.values().stream().filter(m -> m.returning && !returning.contains(m.id)).toList(), "again");
         if (!nobodyBefore && (!listedOnce || now - startedAt < settings.listLagS() * 2000 && !scheduler.machines.isEmpty())) {
@@ -98,7 +99,7 @@
         if (!open.getAsBoolean()) {
             fleet.closed(now);
         }
-        Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), now);
+        Fleet.Plan plan = fleet.plan(scheduler, types, settings.zones(), dark, now);
         if (hiring == 0) { // else machines may be on their way already
             for (Fleet.Rent rent : plan.rents()) {
                 hiring++;
@@ -118,7 +119,7 @@
             hiring--;
             return;
         }
-        cloud.hire(name, kind.type(), kind.zone(), kind.spot(), count, r -> {
+        cloud.hire(name, kind.type(), kind.zone(), kind.spot(), count, acting, r -> {
             LOG.info("hire type={} zone={} spot={} wanted={} status={} got={}", kind.type(), kind.zone(), kind.spot(), count,
                     r.status(), r.body().path("bothies").size());
             long now = runtime.now();
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.hollypick.records.JobCodec;
 import org.hollypick.cloud.CloudClient;
+import org.hollypick.cluster.Keeper;
 import org.hollypick.cluster.Keys;
 import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
@@ -17,6 +19,7 @@
 import org.hollypick.core.Dependencies;
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
+import org.hollypick.core.Leases;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.ledger.Machine;
@@ -82,7 +85,8 @@
         this.resign = resign;
         this.lastTick = runtime.now() - Constants.TICK_MS;
         this.smoothSince = runtime.now();
-        this.scheduler = new Scheduler(baton, settings, operator.firstShare(), runtime.now());
+        this.scheduler = new Scheduler(baton, settings, operator.firstShare(),
+                new Leases(settings, settings.siblings().stream().map(Settings.Sibling::node).toList(), runtime.now(), nobodyBefore));
         this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, this::pump);
         this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, reachesState, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
@@ -139,6 +143,20 @@
         return !ended && entitled.getAsBoolean();
     }
 
+    /** Another controller asks which machines answer this one. */
+    public static void reach(Runtime runtime, JsonNode body, boolean reachesState, Consumer<Answer> answer) {
+        Reach.tryAll(runtime, body, reachesState, answer);
+    }
+
+    /** Another controller asks whether it may keep leases when it is cut off; its view holds every change up to {@code epoch}. */
+    public Answer keep(String node, long epoch, long echo, boolean kept) {
+        long now = runtime.now();
+        Leases leases = scheduler.leases;
+        leases.asked(node, echo, kept, now);
+        boolean granted = leases.allAsked() && ends.allCancelledKnown(epoch);
+        return Keeper.told(baton, leases.answer(node, granted, now), granted).only(this::acting);
+    }
+
     // ---- records ----
 
     /** Jobs that appeared, and ends that a transaction of ours brought although its answer got lost. */
@@ -168,7 +186,11 @@
                     }
                 }
             } else if (job != null) {
-                ends.over(job, Records.status(e.data()));
+                if (Records.status(e.data()).equals(Records.ABORTED)) {
+                    ends.cancelled(job, e.stamp());
+                } else {
+                    ends.over(job, Records.DONE);
+                }
             }
         }
         followDependencies();
@@ -227,7 +249,7 @@
             }
             if (now >= nextFleet) {
                 nextFleet = now + Constants.FLEET_MS;
-                rentals.rentAndReturn(now);
+                rentals.rentAndReturn(workers.dark(), now);
                 if (scheduler.ledger.fenceDue(now)) {
                     fence.run();
                 }
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -1,11 +1,13 @@
 package org.hollypick.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.core.MachineType;
@@ -33,10 +35,15 @@
     private final BooleanSupplier acting;
     private final Runnable pump;
     private final long startedAt;
+    private final Reach reach;
     /** Direct calls under way. */
     private int open;
     /** Since when nearly no machine has answered; 0 if some do. */
     private long cutOffSince;
+    /** Until when silence counts for nothing, since most machines, or most of a zone, were silent together. */
+    private long troubleUntil;
+    /** Zones nearly all of whose machines leave questions open. */
+    private Set<String> dark = Set.of();
 
     Workers(Runtime runtime, Settings settings, Scheduler scheduler, WorkerClient client, Map<String, MachineType> types,
             BooleanSupplier acting, Runnable pump) {
@@ -48,6 +55,7 @@
         this.acting = acting;
         this.pump = pump;
         this.startedAt = runtime.now();
+        this.reach = new Reach(runtime, settings, scheduler.machines);
     }
 
     /** A worker's report, while this node may act. */
@@ -83,7 +91,7 @@
             scheduler.ordersUrgent.remove(m);
         }
         pump.run();
-        return Answer.of(200, WorkerCodec.orders(scheduler.baton, orders));
+        return Answer.of(200, WorkerCodec.orders(scheduler.baton, orders)).only(acting);
     }
 
     private boolean accept(Machine m, Report r, boolean hello, long now) {
@@ -126,7 +134,7 @@
         long tenure = m.up ? m.tenure : 1;
         scheduler.ledger.sentDirect(m, orders);
         open++;
-        client.command(m.addr, scheduler.baton, tenure, orders, r -> {
+        client.command(m.addr, scheduler.baton, tenure, orders, acting, r -> {
             open--;
             answered(m, orders, tenure, r);
             contactUnheard();
@@ -179,35 +187,60 @@
         long usual = (long) (settings.reportS() * 1_250) + Constants.PROBE_SLACK_MS;
         long early = (long) (settings.reportS() * 1_000 * Constants.PROBE_SHARE);
         List<Machine> silent = new ArrayList<>();
+        List<Machine> unsure = new ArrayList<>();
         int talking = 0;
         int doubtful = 0;
+        Map<String, int[]> byZone = new HashMap<>();
         for (Machine m : scheduler.machines.values()) {
             if (m.returning || !m.up && !m.registered) {
                 continue;
             }
             long quiet = now - m.lastReportAt;
-            talking += quiet < Constants.TALKING_MS ? 1 : 0;
-            doubtful += m.unanswered > 0 ? 1 : 0;
-            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED) {
+            int[] zone = byZone.computeIfAbsent(m.zone, z -> new int[2]);
+            if (quiet < Constants.TALKING_MS) {
+                talking++;
+                zone[0]++;
+            }
+            if (m.unanswered > 0) {
+                doubtful++;
+                zone[1]++;
+            }
+            if (m.unanswered > 0 && !m.addr.isEmpty()) {
+                unsure.add(m);
+            }
+            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED && !Reach.spared(m, now)) {
                 silent.add(m);
             } else if (quiet > (m.unanswered > 0 || m.serviceCpus() > 0 ? early : usual) && open < Constants.DIRECT_OPEN) {
                 direct(m, true);
             }
         }
+        reach.ask(unsure);
         // Those that left a question open against those heard of just now: counting only the silent ones would give them up one by one
         // while this node is cut off from all of them.
         double share = doubtful / (double) Math.max(1, doubtful + talking);
-        boolean ownTrouble = doubtful > 2 && share > Constants.SILENT_SHARE;
+        dark = byZone.entrySet().stream().filter(e -> dark(e.getValue()[0], e.getValue()[1])).map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
+        if (doubtful > 2 && share > Constants.SILENT_SHARE || !dark.isEmpty()) {
+            troubleUntil = now + Constants.TROUBLE_OVER_MS;
+        }
         if (doubtful <= 2 || share < Constants.CUT_OFF_SHARE) {
             cutOffSince = 0;
         } else if (cutOffSince == 0) {
             cutOffSince = now;
         }
-        return ownTrouble ? List.of() : silent;
+        return now < troubleUntil ? List.of() : silent;
+    }
+
+    private static boolean dark(int talking, int doubtful) {
+        return doubtful >= Constants.DARK_MACHINES && doubtful >= Constants.CUT_OFF_SHARE * (doubtful + talking);
+    }
+
+    /** Zones that seem to be cut off: what is rented there can't be reached. */
+    Set<String> dark() {
+        return dark;
     }
 
-    /** Nearly all machines have been silent for so long that another controller should try: this one is cut off from them. */
+    /** Another controller should lead: nearly all machines have been silent for long, or others reach those that are. */
     boolean cutOff(long now) {
-        return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS;
+        return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS || Reach.pathAtFault(scheduler.machines.values(), now);
     }
 }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Placement;
@@ -19,7 +18,7 @@
 public final class Scheduler {
     public final long baton;
     private final Settings settings;
-    private final long termStart;
+    public final Leases leases;
     private final Planner planner;
     private final TeamUse teamUse = new TeamUse();
     private final RunTimes runTimes = new RunTimes();
@@ -46,19 +45,15 @@
     public final Set<String> toForget = new LinkedHashSet<>();
     public boolean passWanted;
 
-    public Scheduler(long baton, Settings settings, double firstShare, long now) {
+    /** {@code leases}: when a worker's lease is certainly over. */
+    public Scheduler(long baton, Settings settings, double firstShare, Leases leases) {
         this.baton = baton;
         this.settings = settings;
-        this.termStart = now;
+        this.leases = leases;
         this.ledger = new Ledger(this, teamUse, runTimes);
         this.planner = new Planner(this, firstShare);
     }
 
-    /** How long after its last answered report a worker may still run its tasks. */
-    private long leaseMs() {
-        return (long) (settings.leaseS() * 1000 * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS + 500;
-    }
-
     // ---- jobs ----
 
     /** A job that awaits nothing. */
@@ -161,8 +156,7 @@
         for (Machine m : machines.values()) {
             passWanted |= Blame.pardon(m, now);
             // A session can also be known from a direct answer alone: its lease began before that came, not earlier.
-            long since = Math.max(Math.max(m.answeredAt, m.tenureSince), termStart);
-            if (now - since > leaseMs() && (!m.placements.isEmpty() || !m.heard)) {
+            if ((!m.placements.isEmpty() || !m.heard) && leases.over(Math.max(m.answeredAt, m.tenureSince), now)) {
                 ledger.loseAll(m);
                 m.heard = true;
                 if (m.up) {
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.core.Job;
@@ -68,6 +69,12 @@
     }
 
     public Plan plan(Scheduler scheduler, Map<String, MachineType> types, List<String> zones, long now) {
+        return plan(scheduler, types, zones, Set.of(), now);
+    }
+
+    /** {@code dark}: zones that can't be reached. Their machines count, since most come back, but nothing is rented there. */
+    public Plan plan(Scheduler scheduler, Map<String, MachineType> types, List<String> zones, Set<String> dark, long now) {
+        List<String> lit = zones.stream().filter(z -> !dark.contains(z)).toList();
         Demand demand = demand(scheduler, zones, now);
         follow(scheduler, now);
         double spotCores = 0;
@@ -96,7 +103,7 @@
             serviceNeed += need;
             double missing = need - ordinary.getOrDefault(zone, 0.0);
             spare.put(zone, -missing);
-            if (missing > 0 && demand.service != null) {
+            if (missing > 0 && demand.service != null && !dark.contains(zone)) {
                 rent(rents, demand.service.spec, types, List.of(zone), false, missing, now);
                 ordinaryCores += missing;
             }
@@ -107,9 +114,9 @@
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             JobSpec array = demand.array.spec;
             double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
-            if (!rent(rents, array, types, zones, true, spot, now)) {
+            if (!rent(rents, array, types, lit, true, spot, now)) {
                 double missing = Math.min(late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), ordinaryLimit() - supply);
-                rent(rents, array, types, zones, false, missing, now);
+                rent(rents, array, types, lit, false, missing, now);
             }
         }
         Collection<Machine> machines = scheduler.machines.values();
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -42,6 +42,10 @@
     public long noRoomUntil;
     /** Direct calls left unanswered since its last word. */
     public int unanswered;
+    /** When another controller last reached it while this one didn't, since when without a break, and when that was last asked. */
+    public long elsewhereAt;
+    public long elsewhereSince;
+    public long elsewhereAskedAt;
     /** More than is needed: arrays go elsewhere while they can. */
     public boolean surplus;
     /** Its replicas move elsewhere, so that it can be returned; it gets nothing new. */
--- a/src/main/java/org/hollypick/io/Answer.java
+++ b/src/main/java/org/hollypick/io/Answer.java
@@ -2,10 +2,28 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.BooleanSupplier;
 import org.hollypick.config.Constants;
 
-/** A node's answer to a request; {@code retryAfterS} of 0 sends no such header. */
-public record Answer(int status, JsonNode body, int retryAfterS) {
+/**
+ * A node's answer to a request; {@code retryAfterS} of 0 sends no such header. {@code still} is asked in the moment of sending: an answer
+ * that rests on a right which has ended since it was decided on isn't given.
+ */
+public record Answer(int status, JsonNode body, int retryAfterS, BooleanSupplier still) {
+    public Answer(int status, JsonNode body, int retryAfterS) {
+        this(status, body, retryAfterS, () -> true);
+    }
+
+    /** The same answer, only given while that holds. */
+    public Answer only(BooleanSupplier still) {
+        return new Answer(status, body, retryAfterS, still);
+    }
+
+    /** What is to be sent now. */
+    public Answer now() {
+        return still.getAsBoolean() ? this : later("no longer entitled to act");
+    }
+
     public static Answer of(int status, JsonNode body) {
         return new Answer(status, body, 0);
     }
--- a/src/main/java/org/hollypick/io/HttpServer.java
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -64,10 +64,11 @@
         }
     }
 
-    private static void send(HttpServerExchange x, Answer a, boolean json) {
+    private static void send(HttpServerExchange x, Answer decided, boolean json) {
         if (x.isResponseStarted()) {
             return;
         }
+        Answer a = decided.now();
         x.setStatusCode(a.status());
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, json ? "application/json" : "application/cbor");
         if (a.retryAfterS() > 0) {
--- a/src/main/java/org/hollypick/io/Network.java
+++ b/src/main/java/org/hollypick/io/Network.java
@@ -217,6 +217,10 @@
 
         void send(ClientConnection c) {
             connection = c;
+            if (!call.still().getAsBoolean()) {
+                finish(Reply.notSent()); // the right that it was decided on has ended meanwhile
+                return;
+            }
             sent = true;
             byte[] bytes = call.body() == null ? null : Codec.write(call.body(), call.mesh());
             ClientRequest request = new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
--- a/src/main/java/org/hollypick/worker/WorkerClient.java
+++ b/src/main/java/org/hollypick/worker/WorkerClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.hollypick.config.Constants;
 import org.hollypick.core.ledger.Order;
@@ -17,8 +18,9 @@
         this.runtime = runtime;
     }
 
-    public void command(String addr, long baton, long tenure, List<Order> orders, Consumer<Reply> reply) {
+    /** {@code still}: whether this node may order anything, asked when the order is sent. */
+    public void command(String addr, long baton, long tenure, List<Order> orders, BooleanSupplier still, Consumer<Reply> reply) {
         ObjectNode body = WorkerCodec.orders(baton, orders).put("tenure", tenure);
-        runtime.call(Call.of(addr, "POST", "/commands", body, Constants.ORDER_TIMEOUT_MS), reply);
+        runtime.call(Call.of(addr, "POST", "/commands", body, Constants.ORDER_TIMEOUT_MS).only(still), reply);
     }
 }
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -10,6 +10,7 @@
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
 import org.hollypick.core.Job;
+import org.hollypick.core.Leases;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
@@ -26,8 +27,10 @@
     private static final Map<String, MachineType> TYPES = Map.of("t", TYPE);
     private static final List<String> ZONES = List.of("a", "b");
 
-    private final Scheduler scheduler = new Scheduler(5, new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", ZONES, Map.of(), List.of(),
-            3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000), 0.3, 0);
+    private static final Settings SETTINGS = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", ZONES, Map.of(), List.of(),
+            3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+
+    private final Scheduler scheduler = new Scheduler(5, SETTINGS, 0.3, new Leases(SETTINGS, List.of(), 0, true));
     private final Fleet fleet = new Fleet(OperatorSettings.defaults(), true);
     private int machines;
 
--- /dev/null
+++ b/src/test/java/org/hollypick/LayoutTest.java
@@ -0,0 +1,40 @@
+package org.hollypick;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Which package may use which: the layout that README.md tells of stays true. */
+@AnalyzeClasses(packages = "org.hollypick", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayoutTest {
+    @ArchTest
+    static final ArchRule layers = layeredArchitecture().consideringOnlyDependenciesInLayers()
+            .layer("config").definedBy("org.hollypick.config..")
+            .layer("core").definedBy("org.hollypick.core..")
+            .layer("io").definedBy("org.hollypick.io..")
+            .layer("protocols").definedBy("org.hollypick.state..", "org.hollypick.cloud..", "org.hollypick.worker..")
+            .layer("cluster").definedBy("org.hollypick.cluster..")
+            .layer("records").definedBy("org.hollypick.records..")
+            .layer("control").definedBy("org.hollypick.control..")
+            .layer("api").definedBy("org.hollypick.api..")
+            .layer("node").definedBy("org.hollypick")
+            .layer("cli").definedBy("org.hollypick.cli..")
+            .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+            .whereLayer("node").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("api").mayOnlyBeAccessedByLayers("node")
+            .whereLayer("control").mayOnlyBeAccessedByLayers("api", "node")
+            .whereLayer("records").mayOnlyBeAccessedByLayers("control", "api", "node")
+            .whereLayer("cluster").mayOnlyBeAccessedByLayers("records", "control", "api", "node")
+            .whereLayer("protocols").mayOnlyBeAccessedByLayers("cluster", "control", "node")
+            .whereLayer("io").mayOnlyBeAccessedByLayers("protocols", "cluster", "records", "control", "api", "node", "cli")
+            .whereLayer("core").mayOnlyBeAccessedByLayers("protocols", "cluster", "records", "control", "api", "node");
+
+    @ArchTest
+    static final ArchRule coreIsPure = noClasses().that().resideInAPackage("org.hollypick.core..").should().dependOnClassesThat()
+            .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "com.fasterxml..", "io.undertow..",
+                    "org.xnio..", "org.slf4j..");
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/LeasesTest.java
@@ -0,0 +1,246 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Leases;
+import org.junit.jupiter.api.Test;
+
+/** When a lease counts as over, against a plain model of a worker, two keepers, an owner and a network that loses and holds back, on drifting clocks. */
+class LeasesTest {
+    private static final long LEASE_MS = 15_000;
+    private static final List<String> KEEPERS = List.of("k0", "k1");
+    private static final Settings SETTINGS = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a"), Map.of(), List.of(),
+            3, LEASE_MS / 1000.0, 35, 100, 30, 8192, 12, 8, 4, 1000);
+    private static final long WINDOW_MS = Leases.windowMs(SETTINGS);
+
+    /** What a keeper may do wrong. */
+    private enum Fault { NONE, HIDES, KEEPS_LONGER, COUNTS_FROM_THE_ANSWER }
+
+    /** One drawn stretch of time; events in the order of true time. */
+    private static final class Model {
+        private final Random random;
+        private final Fault fault;
+        private final PriorityQueue<Event> events = new PriorityQueue<>();
+        private final Leases leases;
+        private final List<Keeper> keepers = new ArrayList<>();
+        private final double ownerRate;
+        private final double workerRate;
+        private long now = 100_000;
+        private long seq;
+        /** The worker's: when the last answered report was sent, by its own clock, and whether that lease has run out since. */
+        private double sentAt;
+        private boolean ended;
+        private long answeredAt;
+        /** Who hears the worker: 0 the owner, else a keeper, -1 nobody. */
+        private int heardBy;
+        private long overAt = -1;
+        private String wrong;
+
+        private record Event(long at, long seq, Runnable run) implements Comparable<Event> {
+            @Override
+            public int compareTo(Event o) {
+                return at != o.at ? Long.compare(at, o.at) : Long.compare(seq, o.seq);
+            }
+        }
+
+        private final class Keeper {
+            final String name;
+            final double rate;
+            boolean linked = true;
+            double until = Double.NEGATIVE_INFINITY;
+            double contactAt;
+            long echo;
+            long kept;
+            long told;
+
+            Keeper(String name, double rate) {
+                this.name = name;
+                this.rate = rate;
+                this.contactAt = now * rate;
+            }
+
+            double clock() {
+                return now * rate;
+            }
+
+            void ask() {
+                double sent = clock();
+                long telling = kept;
+                long seen = echo;
+                boolean tells = telling > told && fault != Fault.HIDES;
+                if (linked && random.nextInt(10) > 0) {
+                    after(delay(), () -> {
+                        leases.asked(name, seen, tells, owner());
+                        boolean granted = leases.allAsked() && random.nextInt(8) > 0;
+                        long number = leases.answer(name, granted, owner());
+                        if (linked && random.nextInt(10) > 0) {
+                            after(delay(), () -> answered(sent, telling, number, granted));
+                        }
+                    });
+                }
+                after(1_000, this::ask);
+            }
+
+            void answered(double sent, long telling, long number, boolean granted) {
+                if (fault != Fault.COUNTS_FROM_THE_ANSWER && clock() - sent > Constants.MESH_TIMEOUT_MS) {
+                    return;
+                }
+                contactAt = clock();
+                echo = number;
+                told = Math.max(told, telling);
+                if (granted) {
+                    double from = fault == Fault.COUNTS_FROM_THE_ANSWER ? clock() : sent;
+                    until = from + WINDOW_MS * (fault == Fault.KEEPS_LONGER ? 2 : 1 - Constants.DRIFT) - Constants.CLOCK_MARGIN_MS;
+                }
+            }
+
+            boolean keeps() {
+                return clock() - contactAt > Constants.KEEP_LOST_MS && clock() < until;
+            }
+        }
+
+        Model(long seed, Fault fault) {
+            this.random = new Random(seed);
+            this.fault = fault;
+            this.ownerRate = rate();
+            this.workerRate = rate();
+            this.sentAt = now * workerRate;
+            this.answeredAt = owner();
+            this.leases = new Leases(SETTINGS, KEEPERS, owner(), random.nextBoolean());
+            for (String name : KEEPERS) {
+                Keeper k = new Keeper(name, rate());
+                keepers.add(k);
+                after(random.nextInt(1_000), k::ask);
+            }
+            after(0, this::report);
+            after(0, this::look);
+            after(0, this::weather);
+        }
+
+        private double rate() {
+            return 1 + (random.nextDouble() - 0.5) * 0.001;
+        }
+
+        private long owner() {
+            return (long) (now * ownerRate);
+        }
+
+        private long delay() {
+            return random.nextInt(12) == 0 ? random.nextInt(20_000) : random.nextInt(20);
+        }
+
+        private void after(long ms, Runnable run) {
+            events.add(new Event(now + ms, seq++, run));
+        }
+
+        /** Now and then who reaches whom changes. */
+        private void weather() {
+            heardBy = random.nextInt(4) - 1;
+            for (Keeper k : keepers) {
+                k.linked = random.nextInt(3) > 0;
+            }
+            after(1_000 + random.nextInt(25_000), this::weather);
+        }
+
+        private void report() {
+            double sent = now * workerRate;
+            if (sent - sentAt > LEASE_MS) {
+                ended = true;
+            }
+            int by = heardBy;
+            if (by >= 0 && !ended) {
+                after(random.nextInt(500), () -> {
+                    boolean answers = by == 0 || keepers.get(by - 1).keeps();
+                    if (answers) {
+                        if (by == 0) {
+                            answeredAt = owner();
+                        } else {
+                            keepers.get(by - 1).kept++;
+                        }
+                        after(random.nextInt(500), () -> {
+                            if (now * workerRate - sentAt > LEASE_MS) {
+                                ended = true;
+                            } else if (!ended) {
+                                sentAt = sent;
+                            }
+                        });
+                    }
+                });
+            }
+            after(1_000 + random.nextInt(2_000), this::report);
+        }
+
+        private void look() {
+            if (now * workerRate - sentAt > LEASE_MS) {
+                ended = true;
+            }
+            if (overAt < 0 && leases.over(answeredAt, owner())) {
+                overAt = now;
+                if (!ended) {
+                    wrong = "called over " + (LEASE_MS - (now * workerRate - sentAt)) + " ms early";
+                }
+            }
+            after(50, this::look);
+        }
+
+        Model play(long ms) {
+            long end = now + ms;
+            while (events.peek().at <= end) {
+                Event e = events.poll();
+                now = e.at;
+                e.run.run();
+            }
+            return this;
+        }
+    }
+
+    @Property(tries = 1_500, seed = "20261201", shrinking = ShrinkingMode.OFF)
+    void aLeaseThatMayBeKeptNeverCountsAsOver(@ForAll long seed) {
+        Model m = new Model(seed, Fault.NONE).play(150_000);
+        assertTrue(m.wrong == null, m.wrong);
+    }
+
+    /** Each way of keeping more than was granted, or telling less, is noticed by the model. */
+    @Test
+    void theModelNoticesFaultyKeepers() {
+        for (Fault fault : List.of(Fault.HIDES, Fault.KEEPS_LONGER, Fault.COUNTS_FROM_THE_ANSWER)) {
+            boolean noticed = false;
+            for (int seed = 1; seed <= 3_000 && !noticed; seed++) {
+                noticed = new Model(seed, fault).play(150_000).wrong != null;
+            }
+            assertTrue(noticed, fault.name());
+        }
+    }
+
+    /** If it never counted as over, nothing lost would ever start again without the cloud. */
+    @Test
+    void withoutAnyWordItIsOverByAndBy() {
+        Leases leases = new Leases(SETTINGS, KEEPERS, 0, false);
+        assertFalse(leases.over(0, LEASE_MS + 1_000), "an older owner's grant may still hold");
+        assertTrue(leases.over(0, WINDOW_MS + LEASE_MS + 2_000));
+        Leases first = new Leases(SETTINGS, KEEPERS, 0, true);
+        assertTrue(first.over(0, LEASE_MS + 1_000), "nobody granted anything");
+        for (String k : KEEPERS) {
+            first.asked(k, 0, false, 100);
+            first.answer(k, true, 100);
+        }
+        assertFalse(first.over(0, LEASE_MS + 1_000), "they may keep from now on");
+        for (long t = 1_100; t < 40_000; t += 1_000) {
+            for (String k : KEEPERS) {
+                first.asked(k, first.answer(k, true, t) - 2, false, t);
+            }
+        }
+        assertTrue(first.over(0, 40_000), "both told all along that they kept nothing");
+    }
+}
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -13,6 +13,7 @@
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
+import org.hollypick.core.Leases;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Order;
@@ -27,7 +28,7 @@
     private static final long LEASE_MS = 20_000;
     private static final MachineType TYPE = new MachineType("t", 8, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a", "b"));
 
-    private final Scheduler scheduler = new Scheduler(5, settings(Map.of()), 0.3, 0);
+    private final Scheduler scheduler = new Scheduler(5, settings(Map.of()), 0.3, new Leases(settings(Map.of()), List.of(), 0, true));
 
     private static Settings settings(Map<String, Settings.Team> teams) {
         return new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a", "b"), teams, List.of(),
@@ -168,7 +169,7 @@
 
     @Test
     void limitsCountEveryTaskThatMayBeThere() {
-        Scheduler limited = new Scheduler(5, settings(Map.of("team", new Settings.Team("team", 0, 4, 0, 0))), 0.3, 0);
+        Scheduler limited = new Scheduler(5, settings(Map.of("team", new Settings.Team("team", 0, 4, 0, 0))), 0.3, new Leases(settings(Map.of()), List.of(), 0, true));
         Machine m = limited.addMachine("n-1", TYPE, "a", true, false, 0);
         m.registered = true;
         limited.ledger.report(m, report("n-1", 1, 1, 5), true, 0);
--- a/src/test/java/org/hollypick/PlannerTest.java
+++ b/src/test/java/org/hollypick/PlannerTest.java
@@ -15,6 +15,7 @@
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
+import org.hollypick.core.Leases;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Placement;
@@ -32,7 +33,7 @@
         Random random = new Random(seed);
         Settings settings = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a", "b"),
                 Map.of("team", new Settings.Team("team", 0, random.nextBoolean() ? 0 : 60, 0, 0)), List.of(), 3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
-        Scheduler scheduler = new Scheduler(5, settings, 0.3, 0);
+        Scheduler scheduler = new Scheduler(5, settings, 0.3, new Leases(settings, List.of(), 0, true));
         int machines = 2 + random.nextInt(14);
         for (int i = 0; i < machines; i++) {
             Machine m = scheduler.addMachine("n-" + i, random.nextBoolean() ? SMALL : LARGE, random.nextBoolean() ? "a" : "b", random.nextBoolean(), false, 0);
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -4,12 +4,14 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.hollypick.Node;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
@@ -27,6 +29,7 @@
     /** A controller's host; processes come and go on it. */
     private final class Host implements World.Endpoint {
         final int index;
+        String zone = "a";
         final double rate;
         World.Process process;
         Controller node;
@@ -38,6 +41,10 @@
             this.rate = clockRate(index);
         }
 
+        String name() {
+            return "bothy-" + index;
+        }
+
         void start() {
             process = world.new Process("bothy-" + index, rate);
             node = old ? production.controller(process, settings(index, false)) : Controller.of(version.apply(process, settings(index, tightened != null)));
@@ -60,11 +67,14 @@
         @Override
         public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
             World.Process at = process;
-            node.handle(method, path, body == null ? new byte[0] : Codec.write(body, false), r -> {
-                if (!at.dead) {
-                    reply.accept(r);
+            byte[] bytes = body == null ? new byte[0] : Codec.write(body, false);
+            at.awake(() -> node.handle(method, path, bytes, answer -> at.out(() -> {
+                Reply r = answer.get();
+                if (path.equals("/hello") && r.ok() && r.body().path("orders").toString().contains("launch")) {
+                    ordered(name());
                 }
-            });
+                reply.accept(r);
+            })));
         }
     }
 
@@ -104,6 +114,11 @@
         cloud = new CloudStandIn(world, checker, nodes, ZONES, LEASE_MS, size);
         world.listen("state:1", state);
         world.listen("cloud:1", cloud);
+        world.sending = (from, call) -> {
+            if (call.path().equals("/commands") || call.path().startsWith("/hosts") && call.method().equals("POST")) {
+                ordered(from);
+            }
+        };
         for (int i = 0; i < 3; i++) {
             Host h = new Host(i);
             h.old = production != null;
@@ -119,11 +134,8 @@
                 @Override
                 public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
                     World.Process at = h.process;
-                    h.node.handleMesh(method, path, body == null ? new byte[0] : Codec.write(body, true), r -> {
-                        if (!at.dead) {
-                            reply.accept(r);
-                        }
-                    });
+                    byte[] bytes = body == null ? new byte[0] : Codec.write(body, true);
+                    at.awake(() -> h.node.handleMesh(method, path, bytes, answer -> at.out(() -> reply.accept(answer.get()))));
                 }
             });
         }
@@ -149,6 +161,13 @@
                 tight ? tightened.writeRps : 60, tight ? tightened.valueBytes : 8192, tight ? tightened.txnOps : 12, 8, 4, 1000);
     }
 
+    /** A controller orders machines about, or the cloud: only the one that the roster names may, in the moment of sending. */
+    private void ordered(String node) {
+        if (!node.equals(state.data("h/roster").path("leader").asText())) {
+            checker.broken.add("without_right " + node + " at " + world.now);
+        }
+    }
+
     private void sweep() {
         checker.sweep(world.now);
         world.at(500, this::sweep);
@@ -359,6 +378,16 @@
         hosts.get(node).crash(ms);
     }
 
+    /** The controller stands still while its clocks run on. */
+    void freeze(int node, long ms) {
+        hosts.get(node).process.freeze(ms);
+    }
+
+    /** The leading controller stands still between the decision for its next call of that kind and sending it. */
+    void freezeLeaderBefore(Predicate<Call> which, long ms) {
+        hosts.get(leader()).process.freezeBeforeSending(which, ms);
+    }
+
     void crashAll() {
         hosts.forEach(h -> h.crash(4_000 + world.random.nextInt(4_000)));
     }
@@ -371,14 +400,49 @@
     int ready(int node) {
         int[] status = {0};
         hosts.get(node).request("GET", "/ready", null, r -> status[0] = r.status());
+        play(10);
         return status[0];
     }
 
     /** Nothing passes between a controller and the machines. */
     void cutFromWorkers(int node, long ms) {
+        cutFromWorkers(node, ms, cloud.names());
+    }
+
+    void cutFromWorkers(int node, long ms, Collection<String> names) {
         for (WorkerStandIn w : cloud.workers()) {
-            world.cut(w.name, "p" + node + ":1", ms);
-            world.cut("bothy-" + node, w.addr, ms);
+            if (names.contains(w.name)) {
+                world.cut(w.name, "p" + node + ":1", ms);
+                world.cut("bothy-" + node, w.addr, ms);
+            }
+        }
+    }
+
+    void controllerInZone(int node, String zone) {
+        hosts.get(node).zone = zone;
+    }
+
+    /** Nothing passes between a zone, its controllers included, and anything else; inside it everything does. */
+    void cutZone(String zone, long ms) {
+        for (Host h : hosts) {
+            boolean inside = h.zone.equals(zone);
+            if (inside) {
+                world.cut(h.name(), "state:1", ms);
+                world.cut(h.name(), "cloud:1", ms);
+                world.cut("user", "p" + h.index + ":1", ms);
+            }
+            for (Host other : hosts) {
+                if (inside && !other.zone.equals(zone)) {
+                    world.cut(h.name(), "m" + other.index + ":1", ms);
+                    world.cut(other.name(), "m" + h.index + ":1", ms);
+                }
+            }
+            for (WorkerStandIn w : cloud.workers()) {
+                if (inside != w.zone.equals(zone)) {
+                    world.cut(w.name, "p" + h.index + ":1", ms);
+                    world.cut(h.name(), w.addr, ms);
+                }
+            }
         }
     }
 
@@ -387,7 +451,7 @@
         WorkerStandIn w = workers.isEmpty() ? null : workers.get(world.random.nextInt(workers.size()));
         int node = world.random.nextInt(3);
         long ms = 1_000 + world.random.nextInt(30_000);
-        switch (world.random.nextInt(11)) {
+        switch (world.random.nextInt(12)) {
             case 0, 1 -> crash(node, 2_000 + world.random.nextInt(20_000));
             case 2 -> crashAll();
             case 3 -> state.outage(ms);
@@ -425,6 +489,7 @@
                     w.sick();
                 }
             }
+            case 10 -> freeze(node, ms / 2);
             default -> {
                 world.lateShare = 0.03;
                 world.at(ms, () -> world.lateShare = 0);
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/FreezeTest.java
@@ -0,0 +1,78 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.junit.jupiter.api.Test;
+
+/** A controller that stands still while its clocks run on, longer than its hold, between a decision and the sending of what was decided. */
+class FreezeTest {
+    private static final long LONGER_THAN_THE_HOLD_MS = 9_000;
+    private static final List<Predicate<Call>> KINDS = List.of(
+            call -> call.path().equals("/commands") && call.body().path("orders").toString().contains("launch"),
+            call -> call.path().equals("/hosts") && call.method().equals("POST"),
+            call -> call.path().equals("/hosts/return"));
+
+    private static Day day(int seed, Predicate<Call> kind, BiFunction<Runtime, Settings, Node> version) {
+        Day day = new Day(seed, 1, null, null, version);
+        day.submitSome(30, 100_000);
+        day.play(30_000);
+        int before = day.leader();
+        day.freezeLeaderBefore(kind, LONGER_THAN_THE_HOLD_MS);
+        day.submitLasting(8);
+        day.world.at(500, () -> day.cloud.workers().stream().findFirst().ifPresent(w -> w.hang(20_000)));
+        day.play(60_000);
+        assertNotEquals(before, day.leader(), "seed " + seed + ": another one leads by then");
+        day.play(90_000);
+        return day;
+    }
+
+    @Test
+    void whatWasDecidedBeforeAStandstillIsNotSentWithoutTheRight() {
+        for (Predicate<Call> kind : KINDS) {
+            for (int seed = 1; seed <= 6; seed++) {
+                Day day = day(seed, kind, (r, s) -> new Node(r, s, OperatorSettings.defaults()));
+                assertEquals(List.of(), day.checker.broken, "seed " + seed);
+            }
+        }
+    }
+
+    /** Checked only when it is decided, an order goes out that nobody has the right to give any more. */
+    @Test
+    void theCheckerNoticesARightThatIsOnlyCheckedAtTheDecision() {
+        for (Predicate<Call> kind : KINDS) {
+            boolean noticed = false;
+            for (int seed = 1; seed <= 6 && !noticed; seed++) {
+                Day day = day(seed, kind, (r, s) -> new Node(new Runtime() {
+                    @Override
+                    public long now() {
+                        return r.now();
+                    }
+
+                    @Override
+                    public void after(long ms, Runnable task) {
+                        r.after(ms, task);
+                    }
+
+                    @Override
+                    public void call(Call c, Consumer<Reply> reply) {
+                        r.call(new Call(c.address(), c.method(), c.path(), c.body(), c.timeoutMs(), c.mesh()), reply);
+                    }
+                }, s, OperatorSettings.defaults()));
+                noticed = day.checker.broken.stream().anyMatch(b -> b.startsWith("without_right"));
+            }
+            assertTrue(noticed);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/KeepingTest.java
@@ -0,0 +1,124 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.function.BiFunction;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Runtime;
+import org.junit.jupiter.api.Test;
+
+/** A zone cut off from everything, with controllers in it and outside; workers' leases last 15 s, and a cancelled task has 35 s. */
+class KeepingTest {
+    private static final BiFunction<Runtime, Settings, Node> NEW = (r, s) -> new Node(r, s, OperatorSettings.defaults());
+    /** Two leases' time, nearly: longer than a lease, shorter than a lease that is kept. */
+    private static final long CUT_MS = 28_000;
+
+    private static Day day(long seed, BiFunction<Runtime, Settings, Node> version) {
+        Day day = new Day(seed, 1, null, null, version);
+        day.controllerInZone(2, "b");
+        day.play(5_000);
+        day.submitLasting(8);
+        day.play(40_000);
+        return day;
+    }
+
+    private static Day led(long seed, int leader, BiFunction<Runtime, Settings, Node> version) {
+        Day day = day(seed, version);
+        for (int node = 0; node < 3; node++) {
+            if (node != leader) {
+                day.crash(node, 12_000);
+            }
+        }
+        day.play(20_000);
+        assertEquals(leader, day.leader());
+        day.play(10_000);
+        return day;
+    }
+
+    private static void survives(Day day) {
+        int lost = day.checker.lost;
+        int starts = day.checker.starts;
+        day.cutZone("b", CUT_MS);
+        day.play(CUT_MS + 5_000);
+        assertEquals(lost, day.checker.lost, "leases were kept");
+        assertEquals(starts, day.checker.starts, "nothing was started again, since nothing ended");
+        day.play(60_000);
+        assertEquals(lost, day.checker.lost);
+        assertEquals(List.of(), day.checker.broken);
+    }
+
+    /** Half of every spread service has to be in the zone: it ran on unreachable, and ended with the leases. */
+    @Test
+    void workInACutZoneGoesOnWithTheOwnerOutside() {
+        survives(led(3, 0, NEW));
+    }
+
+    @Test
+    void workInACutZoneGoesOnWithTheOwnerInside() {
+        survives(led(3, 2, NEW));
+    }
+
+    /** The successor may not take kept leases for ended ones, and finds what runs before it starts anything twice. */
+    @Test
+    void workInACutZoneOutlivesTheOwnersCrash() {
+        Day day = led(3, 0, NEW);
+        day.world.at(12_000, () -> day.crash(0, 8_000));
+        survives(day);
+    }
+
+    /** A cut longer than anyone may keep leases: the work there ends, and starts again once it may. */
+    @Test
+    void keepingEndsInTimeForWhatIsCancelledMeanwhile() {
+        for (int seed = 1; seed <= 20; seed++) {
+            assertEquals(List.of(), longCut(seed, NEW).checker.broken, "seed " + seed);
+        }
+    }
+
+    @Test
+    void drawnDaysWithCutZonesKeepTheRules() {
+        for (int seed = 1; seed <= 150; seed++) {
+            Day day = drawn(seed, NEW);
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+        }
+    }
+
+    private static Day drawn(int seed, BiFunction<Runtime, Settings, Node> version) {
+        Day day = new Day(seed, 1, null, null, version);
+        day.controllerInZone(2, "b");
+        day.submitSome(30, 150_000);
+        day.drawFaults(5, 20_000, 170_000);
+        for (int i = 0; i < 3; i++) {
+            String zone = day.world.random.nextBoolean() ? "a" : "b";
+            long ms = 5_000 + day.world.random.nextInt(45_000);
+            day.world.at(25_000 + 50_000 * i + day.world.random.nextInt(30_000), () -> day.cutZone(zone, ms));
+        }
+        day.play(260_000);
+        return day;
+    }
+
+    private static Day longCut(int seed, BiFunction<Runtime, Settings, Node> version) {
+        Day day = day(seed, version);
+        day.submitSome(30, 10_000);
+        day.play(16_000); // their users cancel services within a minute
+        day.cutZone("b", 70_000);
+        day.play(200_000);
+        return day;
+    }
+
+    /** One that keeps leases for longer keeps tasks alive whose cancellation was told long ago. */
+    @Test
+    void theCheckerNoticesLeasesKeptForTooLong() {
+        BiFunction<Runtime, Settings, Node> greedy = (r, s) -> new Node(r, new Settings(s.node(), s.zone(), s.publicAddr(), s.meshAddr(), s.siblings(),
+                s.cloud(), s.state(), s.zones(), s.teams(), s.objectives(), s.reportS(), s.leaseS(), s.cancelS() + 60, s.stateRps(), s.stateWriteRps(),
+                s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.sockets()), OperatorSettings.defaults());
+        boolean noticed = false;
+        for (int seed = 1; seed <= 20 && !noticed; seed++) {
+            noticed = longCut(seed, greedy).checker.broken.stream().anyMatch(b -> b.startsWith("ran_cancelled"));
+        }
+        assertTrue(noticed);
+    }
+}
--- a/src/test/java/org/hollypick/sim/Production.java
+++ b/src/test/java/org/hollypick/sim/Production.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.zip.ZipEntry;
 import java.util.zip.ZipInputStream;
 import javax.tools.JavaCompiler;
@@ -193,10 +194,11 @@
             }
         }
 
-        private static Consumer<Object> answer(Consumer<Reply> reply) {
+        private static Consumer<Object> answer(Consumer<Supplier<Reply>> reply) {
             return a -> {
                 try {
-                    reply.accept(new Reply((Integer) part(a, "status"), (JsonNode) part(a, "body")));
+                    Reply r = new Reply((Integer) part(a, "status"), (JsonNode) part(a, "body"));
+                    reply.accept(() -> r);
                 } catch (ReflectiveOperationException e) {
                     throw new IllegalStateException(e);
                 }
@@ -209,12 +211,12 @@
         }
 
         @Override
-        public void handle(String method, String path, byte[] body, Consumer<Reply> reply) {
+        public void handle(String method, String path, byte[] body, Consumer<Supplier<Reply>> reply) {
             invoke(handle, method, path, body, answer(reply));
         }
 
         @Override
-        public void handleMesh(String method, String path, byte[] body, Consumer<Reply> reply) {
+        public void handleMesh(String method, String path, byte[] body, Consumer<Supplier<Reply>> reply) {
             invoke(handleMesh, method, path, body, answer(reply));
         }
     }
--- a/src/test/java/org/hollypick/sim/World.java
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -12,7 +12,9 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.hollypick.io.Call;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
@@ -46,6 +48,8 @@
     /** Chance that a delivered request is kept back and executed up to a minute later, its answer lost. */
     double lateShare;
     private String digest;
+    /** Sees what controllers send, in the moment of sending. */
+    BiConsumer<String, Call> sending = (from, call) -> { };
     private final Hasher played = Hashing.murmur3_128().newHasher();
 
     World(long seed) {
@@ -139,12 +143,21 @@
         }
     }
 
-    /** The runtime of one process; once it is killed nothing of it runs any more. */
+    /**
+     * The runtime of one process; once it is killed nothing of it runs any more. What it decides to send leaves it a millisecond later:
+     * if it stands still in between, that goes out, if at all, when it goes on.
+     */
     final class Process implements Runtime {
+        private static final long OUT_MS = 1;
+
         private final String host;
         /** How fast this process's steady clock runs. */
         private final double rate;
         boolean dead;
+        private long frozenUntil;
+        /** Calls of that kind freeze the process, once, after they were decided on and before they are sent. */
+        private Predicate<Call> trap = call -> false;
+        private long trapMs;
 
         Process(String host, double rate) {
             this.host = host;
@@ -158,18 +171,49 @@
 
         @Override
         public void after(long ms, Runnable task) {
-            at((long) (ms / rate), () -> {
-                if (!dead) {
-                    task.run();
-                }
-            });
+            at((long) (ms / rate), () -> awake(task));
+        }
+
+        /** Now, or once the process goes on; never if it was killed. */
+        void awake(Runnable task) {
+            if (dead) {
+                return;
+            }
+            if (now < frozenUntil) {
+                at(frozenUntil - now, () -> awake(task));
+            } else {
+                task.run();
+            }
+        }
+
+        /** It stands still while its clocks run on. */
+        void freeze(long ms) {
+            frozenUntil = Math.max(frozenUntil, now + ms);
+        }
+
+        void freezeBeforeSending(Predicate<Call> which, long ms) {
+            trap = which;
+            trapMs = ms;
+        }
+
+        /** What was decided now leaves the process. */
+        void out(Runnable send) {
+            at(OUT_MS, () -> awake(send));
         }
 
         @Override
         public void call(Call call, Consumer<Reply> reply) {
-            send(host, call, r -> {
-                if (!dead) {
-                    reply.accept(r);
+            if (trap.test(call)) {
+                trap = c -> false;
+                freeze(trapMs);
+            }
+            Consumer<Reply> in = r -> awake(() -> reply.accept(r));
+            out(() -> {
+                if (call.still().getAsBoolean()) {
+                    sending.accept(host, call);
+                    send(host, call, in);
+                } else {
+                    in.accept(Reply.notSent());
                 }
             });
         }
