--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -68,13 +68,13 @@
         public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
             World.Process at = process;
             byte[] bytes = body == null ? new byte[0] : Codec.write(body, false);
-            at.awake(() -> node.handle(method, path, bytes, answer -> at.out(() -> {
+            at.awake(() -> metering.run(name(), Growth.Metering.activity(path, body), () -> node.handle(method, path, bytes, answer -> at.out(() -> {
                 Reply r = answer.get();
                 if (path.equals("/hello") && r.ok() && r.body().path("orders").toString().contains("launch")) {
                     ordered(name());
                 }
                 reply.accept(r);
-            })));
+            }))));
         }
     }
 
@@ -87,6 +87,8 @@
     private final Production production;
     private final Limits tightened;
     private final BiFunction<Runtime, Settings, Node> version;
+    /** Takes the time of what the controllers are asked. */
+    Growth.Metering metering = (node, activity, handling) -> handling.run();
     private int jobs;
     private boolean lasting;
     private final Set<String> keep = new HashSet<>();
@@ -135,7 +137,7 @@
                 public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
                     World.Process at = h.process;
                     byte[] bytes = body == null ? new byte[0] : Codec.write(body, true);
-                    at.awake(() -> h.node.handleMesh(method, path, bytes, answer -> at.out(() -> reply.accept(answer.get()))));
+                    at.awake(() -> metering.run(h.name(), path, () -> h.node.handleMesh(method, path, bytes, answer -> at.out(() -> reply.accept(answer.get())))));
                 }
             });
         }
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/Growth.java
@@ -0,0 +1,133 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.hollypick.Node;
+import org.hollypick.config.Constants;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+
+/**
+ * What grows with the fleet: processor time of the owner by activity, in the simulated world, without sockets or HTTP. Not a test; run by hand:
+ * {@code mvn -q test-compile exec:java -Dexec.classpathScope=test -Dexec.mainClass=org.hollypick.sim.Growth -Dexec.args="540 1100 2500 5000"}.
+ */
+final class Growth {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final int MACHINES_A_SIZE = 14;
+    private static final long WARM_MS = 90_000;
+    private static final long MEASURED_MS = 60_000;
+
+    /** Processor nanoseconds by activity; an activity inside another counts for itself only. */
+    private static final class Meter {
+        private final Map<String, long[]> by = new TreeMap<>();
+        private long inner;
+
+        void run(String activity, Runnable task) {
+            long outer = inner;
+            inner = 0;
+            long from = THREADS.getCurrentThreadCpuTime();
+            task.run();
+            long spent = THREADS.getCurrentThreadCpuTime() - from;
+            long[] sum = by.computeIfAbsent(activity, k -> new long[2]);
+            sum[0] += spent - inner;
+            sum[1]++;
+            inner = outer + spent;
+        }
+    }
+
+    private Growth() {}
+
+    public static void main(String[] args) {
+        System.out.printf("| machines | tasks there | %s |%n", "owner's processor time a second of the day, ms: by activity (times a second) | others, ms | bytes to the state service a second | changes a second | reload after a takeover, ms | heap in use, MB");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (String arg : args) {
+            measure(Integer.parseInt(arg));
+        }
+    }
+
+    private static void measure(int machines) {
+        int size = Math.max(1, machines / MACHINES_A_SIZE);
+        Map<String, Meter> meters = new TreeMap<>();
+        Day day = new Day(1, size, null, null, (r, s) -> metered(r, s, meters.computeIfAbsent(s.node(), k -> new Meter())));
+        day.metering = (node, activity, run) -> meters.get(node).run(activity, run);
+        long[] state = new long[2];
+        day.world.sending = (from, call) -> {
+            if (call.path().equals("/commit")) {
+                state[0] += call.body().toString().length();
+                state[1] += call.body().path("then").size();
+            }
+        };
+        int jobs = 26;
+        day.submitLasting(jobs);
+        day.submitSome(jobs * 6, WARM_MS + MEASURED_MS);
+        day.play(WARM_MS);
+        meters.values().forEach(m -> m.by.clear());
+        state[0] = 0;
+        state[1] = 0;
+        day.play(MEASURED_MS);
+        String owner = "bothy-" + day.leader();
+        StringBuilder by = new StringBuilder();
+        double[] all = new double[2];
+        meters.forEach((node, m) -> m.by.forEach((activity, sum) -> {
+            double ms = sum[0] / 1e6 / (MEASURED_MS / 1000.0);
+            all[node.equals(owner) ? 0 : 1] += ms;
+            if (node.equals(owner) && ms >= 0.05) {
+                by.append(String.format(Locale.ROOT, "%s %.2f (%.0f); ", activity, ms, sum[1] / (MEASURED_MS / 1000.0)));
+            }
+        }));
+        long there = day.cloud.workers().stream().mapToLong(WorkerStandIn::tasks).sum();
+        double bytes = state[0] / (MEASURED_MS / 1000.0);
+        double changes = state[1] / (MEASURED_MS / 1000.0);
+        int found = day.cloud.workers().size();
+        System.gc();
+        java.lang.Runtime vm = java.lang.Runtime.getRuntime();
+        long heap = (vm.totalMemory() - vm.freeMemory()) >> 20;
+        meters.values().forEach(m -> m.by.clear());
+        day.crash(day.leader(), 60_000);
+        day.play(8_000);
+        Meter next = meters.get("bothy-" + day.leader());
+        double reload = next.by.values().stream().mapToLong(s -> s[0]).sum() / 1e6;
+        System.out.printf(Locale.ROOT, "| %d | %d | %.1f: %s| %.1f | %.0f | %.1f | %.0f | %d |%n", found, there, all[0], by, all[1], bytes, changes, reload, heap);
+    }
+
+    private static Node metered(Runtime r, Settings s, Meter meter) {
+        Runtime metered = new Runtime() {
+            @Override
+            public long now() {
+                return r.now();
+            }
+
+            @Override
+            public void after(long ms, Runnable task) {
+                String name = ms == Constants.PASS_GAP_MS ? "pass and orders" : ms == Constants.TICK_MS ? "regular loop" : "other timers";
+                r.after(ms, () -> meter.run(name, task));
+            }
+
+            @Override
+            public void call(Call c, Consumer<Reply> reply) {
+                String path = c.path();
+                String name = path.startsWith("/watch") ? "watch" : path.equals("/commands") ? "answers to orders" : path.startsWith("/hosts") ? "cloud"
+                        : path.startsWith("/holds") ? "renewal" : path.equals("/commit") ? "commits" : c.mesh() ? "mesh" : "reads";
+                r.call(c, a -> meter.run(name, () -> reply.accept(a)));
+            }
+        };
+        return new Node(metered, s, OperatorSettings.defaults());
+    }
+
+    /** Runs a request's handling for a meter. */
+    interface Metering {
+        void run(String node, String activity, Runnable handling);
+
+        static String activity(String path, JsonNode body) {
+            return path.equals("/hello") ? "reports" : path.startsWith("/submissions") ? body == null ? "polls" : "submissions" : path;
+        }
+    }
+}
