Tasks of one job may differ in what they take, and become more

Need: a graph is to be one job whose set of tasks grows (docs/graphs.md). Change: the core asks Job.spec(index), and a placement keeps what its task takes; TaskSet is what the core knows of such tasks.

--- a/src/main/java/org/hollypick/control/Progress.java
+++ b/src/main/java/org/hollypick/control/Progress.java
@@ -89,8 +89,8 @@
      */
     private Part part(Job job, int from) {
         String id = job.spec.id();
-        boolean even = chunk == Constants.PROGRESS_CHUNK || job.spec.tasks() <= chunk;
-        return new Part(job, even ? id + "/" + from / Constants.PROGRESS_CHUNK : id + "@" + from + "/0", from, Math.min(job.spec.tasks(), from + chunk));
+        boolean even = !job.grows() && (chunk == Constants.PROGRESS_CHUNK || job.spec.tasks() <= chunk);
+        return new Part(job, even ? id + "/" + from / Constants.PROGRESS_CHUNK : id + "@" + from + "/0", from, to(job, from + chunk));
     }
 
     /** The part that a record names; null if its job isn't live. */
@@ -102,7 +102,12 @@
             return null;
         }
         int from = at < 0 ? Integer.parseInt(name.substring(slash + 1)) * Constants.PROGRESS_CHUNK : Integer.parseInt(name.substring(at + 1, slash));
-        return new Part(job, name, from, Math.min(job.spec.tasks(), from + Constants.PROGRESS_CHUNK));
+        return new Part(job, name, from, to(job, from + Constants.PROGRESS_CHUNK));
+    }
+
+    /** A part of a job that grows keeps its full length from the start. */
+    private static int to(Job job, int end) {
+        return job.grows() ? end : Math.min(job.spec.tasks(), end);
     }
 
     /** What earlier owners recorded about the jobs that are live. */
@@ -219,7 +224,7 @@
 
     private List<Part> changed(Job job) {
         List<Part> changed = new ArrayList<>();
-        for (int from = 0; from < job.spec.tasks(); from += chunk) {
+        for (int from = 0; from < job.tasks(); from += chunk) {
             Part part = part(job, from);
             if (!part.of(job.done).equals(part.of(job.committed))) {
                 changed.add(part);
--- a/src/main/java/org/hollypick/control/Summary.java
+++ b/src/main/java/org/hollypick/control/Summary.java
@@ -39,16 +39,16 @@
             fetching += m.startingTasks();
             serviceCores += m.serviceCpus();
         }
-        double waiting = 0;
-        double waitingServices = 0;
+        double[] waiting = new double[2]; // arrays, services
         for (Job job : scheduler.jobs.values()) {
-            double pending = job.waits() ? job.pending.cardinality() * job.spec.cpus() : 0;
-            waiting += job.spec.service() ? 0 : pending;
-            waitingServices += job.spec.service() ? pending : 0;
+            if (job.waits()) {
+                int at = job.spec.service() ? 1 : 0;
+                job.forEachWaiting((spec, count) -> waiting[at] += count * spec.cpus());
+            }
         }
         LOG.info("fleet baton={} settled={} machines={} idle={} cores ordinary={} spot={} booting={} used={} services={} waiting={} waiting_services={} load={} fetching={} late_p99={} late_max={}",
-                scheduler.baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting,
-                waitingServices, Math.round(rentals.load()), fetching, lateness.getValueAtPercentile(99), lateness.getMaxValue());
+                scheduler.baton, scheduler.settled(), scheduler.machines.size(), idle, cores[0], cores[1], cores[2], cores[3], serviceCores, waiting[0],
+                waiting[1], Math.round(rentals.load()), fetching, lateness.getValueAtPercentile(99), lateness.getMaxValue());
         lateness.reset();
     }
 }
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -6,8 +6,11 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.ObjIntConsumer;
 import org.hollypick.core.ledger.Placement;
 
 /** A live job, owned by this controller. */
@@ -50,13 +53,72 @@
     /** Writes of an end that went out and may be, or become, true: another node may tell it before this one knows. */
     public int endsInDoubt;
 
+    /** Null: all tasks are as {@code spec} says. */
+    private final TaskSet set;
+
     public Job(JobSpec spec, long order, long under, boolean ready, JobSpec.Rank rank) {
+        this(spec, null, order, under, ready, rank);
+        pending.set(0, spec.tasks());
+    }
+
+    /** A job whose tasks aren't all alike: what of it waits is told by and by ({@link Scheduler#release}). */
+    public Job(JobSpec spec, TaskSet set, long order, long under, boolean ready, JobSpec.Rank rank) {
         this.spec = spec;
+        this.set = set;
         this.ready = ready;
         this.rank = rank;
         this.order = order;
         this.under = under;
-        pending.set(0, spec.tasks());
+    }
+
+    /** What that task takes and where it may go. */
+    public JobSpec spec(int index) {
+        return set == null ? spec : set.spec(index);
+    }
+
+    public int tasks() {
+        return set == null ? spec.tasks() : set.count();
+    }
+
+    /** Whether its tasks may become more. */
+    public boolean grows() {
+        return set != null;
+    }
+
+    /** Whether its tasks differ in what they take. */
+    public boolean mixed() {
+        return set != null && set.mixed();
+    }
+
+    /** Whether that task may still start. */
+    boolean wanted(int index) {
+        return status == Status.LIVE && !done.get(index) && (set == null || set.wanted(index));
+    }
+
+    /** {@code committed} holds more than before. */
+    void committedMore() {
+        if (set != null) {
+            set.committed(committed);
+        }
+    }
+
+    void errored(int index) {
+        if (set != null) {
+            set.errored(index);
+        }
+    }
+
+    /** How many tasks of each description wait. */
+    public void forEachWaiting(ObjIntConsumer<JobSpec> each) {
+        if (!mixed()) {
+            if (!pending.isEmpty()) {
+                each.accept(spec(pending.nextSetBit(0)), pending.cardinality());
+            }
+            return;
+        }
+        Map<JobSpec, int[]> counts = new IdentityHashMap<>();
+        pending.stream().forEach(i -> counts.computeIfAbsent(set.spec(i), k -> new int[1])[0]++);
+        counts.forEach((spec, count) -> each.accept(spec, count[0]));
     }
 
     /** It starts now, or was found, on that machine. */
@@ -90,6 +152,6 @@
     }
 
     public boolean finished() {
-        return !spec.service() && done.cardinality() == spec.tasks();
+        return !spec.service() && (set == null ? done.cardinality() == spec.tasks() : set.finished(done));
     }
 }
--- a/src/main/java/org/hollypick/core/Ledger.java
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -94,7 +94,7 @@
     private void drain(Machine m, double noticeS) {
         m.draining = true;
         for (Placement p : m.there()) {
-            JobSpec s = p.job.spec;
+            JobSpec s = p.spec;
             if (s.checkpointS() > 0 && !s.service()) {
                 stop(p, noticeS > s.saveS() ? Math.ceil(s.saveS()) : 0);
             } else if (s.service() || noticeS < s.estimateS() / 4) {
@@ -117,7 +117,7 @@
         } catch (NumberFormatException e) {
             return null;
         }
-        if (index < 0 || index >= job.spec.tasks() || job.done.get(index) || m.placements.containsKey(t.attempt())) {
+        if (index < 0 || index >= job.tasks() || job.done.get(index) || m.placements.containsKey(t.attempt())) {
             return null;
         }
         if (t.state() == State.EXITED ? !"done".equals(t.why()) || job.spec.service() : job.live.containsKey(index)) {
@@ -127,7 +127,7 @@
         m.add(p);
         if (t.state() != State.EXITED) {
             job.placed(p);
-            teamUse.add(job.spec, 1);
+            teamUse.add(p.spec, 1);
         }
         return p;
     }
@@ -140,7 +140,7 @@
             p.runningAt = now;
         }
         if (t.state() == State.RUNNING || t.state() == State.SAVING) {
-            p.machine.images.put(p.job.spec.image(), now);
+            p.machine.images.put(p.spec.image(), now);
         }
         p.become(t.state());
         if (t.state() == State.EXITED) {
@@ -168,10 +168,10 @@
             }
             if (first) {
                 scheduler.progressDirty.add(job);
-                double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : job.spec.estimateS();
+                double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : p.spec.estimateS();
                 job.partialSize += ran;
                 if (p.runningAt > 0) {
-                    runTimes.finished(job.spec, ran);
+                    runTimes.finished(p.spec, ran);
                 }
                 for (Job mover : Tyrex.movers(scheduler.jobs.values())) {
                     mover.moved = true;
@@ -182,6 +182,9 @@
         } else {
             p.clearable = true;
             blame.ended(m, job, p.index, why, now);
+            if ("error".equals(why)) {
+                job.errored(p.index);
+            }
         }
         freeTask(p);
     }
@@ -207,8 +210,8 @@
     private void freeTask(Placement p) {
         Job job = p.job;
         if (job.unplaced(p)) {
-            teamUse.add(job.spec, -1);
-            if (job.status == Job.Status.LIVE && !job.done.get(p.index)) {
+            teamUse.add(p.spec, -1);
+            if (job.wanted(p.index)) {
                 job.pending.set(p.index);
                 scheduler.passWanted = true;
             }
@@ -228,6 +231,7 @@
                 i.remove();
             }
         }
+        job.committedMore();
     }
 
     // ---- starts and stops ----
@@ -240,7 +244,7 @@
         Placement p = new Placement(job, index, attempt, m, now);
         m.add(p);
         job.placed(p);
-        teamUse.add(job.spec, 1);
+        teamUse.add(p.spec, 1);
         wantOrders(p);
     }
 
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Set;
 import org.hollypick.config.Constants;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.placement.Placer;
@@ -109,21 +112,30 @@
         if (job.spec.service()) {
             return;
         }
+        Set<JobSpec> noRoom = Set.of();
         int i = next(job, 0, now);
         while (i >= 0) {
-            Machine m = Placer.choose(job, own, now);
-            if (m == null) {
-                m = Placer.choose(job, keepOneFree ? lendable(others) : others, now);
+            JobSpec spec = job.spec(i);
+            Machine m = noRoom.contains(spec) ? null : Placer.choose(job, spec, own, now);
+            if (m == null && !noRoom.contains(spec)) {
+                m = Placer.choose(job, spec, keepOneFree ? lendable(others) : others, now);
             }
             if (m == null) {
-                return;
+                if (!job.mixed()) {
+                    return;
+                }
+                // Tasks of another description may fit.
+                noRoom = noRoom.isEmpty() ? Collections.newSetFromMap(new IdentityHashMap<>()) : noRoom;
+                noRoom.add(spec);
+                i = next(job, i + 1, now);
+                continue;
             }
             // Each task makes the machine a better choice for the next one, until it is full: the image is there or on its
             // way, and arrays are packed.
             do {
                 start(job, i, m, now);
                 i = next(job, i + 1, now);
-            } while (i >= 0 && m.hasRoom(job.spec) && Placer.allowed(job, m));
+            } while (i >= 0 && job.spec(i) == spec && m.hasRoom(spec) && Placer.allowed(job, spec, m));
         }
     }
 
@@ -134,14 +146,27 @@
 
     /** The next task that may start now, or -1. */
     private int next(Job job, int from, long now) {
-        if (!job.waits() || !scheduler.withinLimit(job.spec)) {
+        if (!job.waits()) {
             return -1;
         }
-        int i = job.pending.nextSetBit(from);
-        while (i >= 0 && job.notBefore.get(i) > now) {
-            i = job.pending.nextSetBit(i + 1);
+        JobSpec beyond = null;
+        JobSpec within = null;
+        for (int i = job.pending.nextSetBit(from); i >= 0; i = job.pending.nextSetBit(i + 1)) {
+            JobSpec spec = job.spec(i);
+            if (spec != within && spec != beyond) {
+                if (scheduler.withinLimit(spec)) {
+                    within = spec;
+                } else if (job.mixed()) {
+                    beyond = spec;
+                } else {
+                    return -1;
+                }
+            }
+            if (spec == within && job.notBefore.get(i) <= now) {
+                return i;
+            }
         }
-        return i;
+        return -1;
     }
 
     /** The first partition lends what is beyond one machine kept free. */
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -86,7 +86,35 @@
         JobSpec spec = job.spec;
         double cores = spec.tasks() * spec.cpus();
         arrived = spec.service() ? new Arrived(arrived.arrays, arrived.arrayWork, arrived.serviceCores + cores)
-                : new Arrived(arrived.arrays + 1, arrived.arrayWork + cores * expectedRunS(job), arrived.serviceCores);
+                : new Arrived(arrived.arrays + 1, arrived.arrayWork + cores * expectedRunS(spec), arrived.serviceCores);
+        passWanted = true;
+    }
+
+    /** A job whose tasks aren't all alike; none of them waits yet. */
+    public Job addJob(JobSpec spec, TaskSet set, long order, long under) {
+        Job job = new Job(spec, set, order, under, true, spec.rank());
+        jobs.put(spec.id(), job);
+        arrived = new Arrived(arrived.arrays + 1, arrived.arrayWork, arrived.serviceCores);
+        return job;
+    }
+
+    /** From now on that task of such a job waits. */
+    public void release(Job job, int index) {
+        if (job.wanted(index) && !job.live.containsKey(index)) {
+            JobSpec spec = job.spec(index);
+            job.pending.set(index);
+            arrived = new Arrived(arrived.arrays, arrived.arrayWork + spec.cpus() * expectedRunS(spec), arrived.serviceCores);
+            passWanted = true;
+        }
+    }
+
+    /** That task of such a job isn't to run any more: it doesn't wait, and where it may be it is stopped. */
+    public void withdraw(Job job, int index) {
+        job.pending.clear(index);
+        Placement p = job.live.get(index);
+        if (p != null) {
+            ledger.stop(p, 0);
+        }
         passWanted = true;
     }
 
@@ -99,8 +127,8 @@
         return taken;
     }
 
-    public double expectedRunS(Job job) {
-        return runTimes.expectedS(job.spec);
+    public double expectedRunS(JobSpec spec) {
+        return runTimes.expectedS(spec);
     }
 
     /** The abort is durable: nothing of the job may start from here on, and all of it goes. */
--- /dev/null
+++ b/src/main/java/org/hollypick/core/TaskSet.java
@@ -0,0 +1,27 @@
+package org.hollypick.core;
+
+import java.util.BitSet;
+
+/** The tasks of a job that aren't all alike and may become more: what the core needs to know of them, by index. */
+public interface TaskSet {
+    /** How many there are by now; none goes away. */
+    int count();
+
+    /** What the task takes and where it may go; equal descriptions are the same object. */
+    JobSpec spec(int index);
+
+    /** Whether there is more than one description. */
+    boolean mixed();
+
+    /** Whether the task may still start. */
+    boolean wanted(int index);
+
+    /** Nothing will become of any task any more, given those that are done. */
+    boolean finished(BitSet done);
+
+    /** It is durable that those tasks are done. */
+    void committed(BitSet done);
+
+    /** The task failed once more. */
+    void errored(int index);
+}
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -65,7 +65,7 @@
         double arrayCores;
         boolean arraysWait;
         Job service;
-        Job array;
+        JobSpec array;
     }
 
     public Plan plan(Scheduler scheduler, Map<String, MachineType> types, List<String> zones, long now) {
@@ -112,7 +112,7 @@
         double base = arrays.perSecond() * Constants.LOAD_HEADROOM * reliance();
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
-            JobSpec array = demand.array.spec;
+            JobSpec array = demand.array;
             double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
             if (!rent(rents, array, types, lit, true, spot, now)) {
                 double missing = Math.min(late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), ordinaryLimit() - supply);
@@ -265,16 +265,23 @@
                 shares(job, zones).forEach((zone, share) -> d.serviceCores.merge(zone, pending * s.cpus() * share, Double::sum));
                 continue;
             }
-            double runs = scheduler.expectedRunS(job);
-            d.arrayWork += pending * s.cpus() * runs;
-            d.arrayCores += (pending + job.live.size()) * s.cpus();
+            if (pending > 0) {
+                job.forEachWaiting((spec, count) -> {
+                    d.arrayWork += count * spec.cpus() * scheduler.expectedRunS(spec);
+                    d.arrayCores += count * spec.cpus();
+                });
+            }
             for (Placement p : job.live.values()) {
+                double runs = scheduler.expectedRunS(p.spec);
                 double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : 0;
-                d.arrayWork += s.cpus() * Math.max(runs - ran, runs * 0.1);
+                d.arrayWork += p.spec.cpus() * Math.max(runs - ran, runs * 0.1);
+                d.arrayCores += p.spec.cpus();
             }
             d.arraysWait |= pending > 0;
-            if (d.array == null || pending > 0) {
-                d.array = job;
+            if (pending > 0) {
+                d.array = job.spec(job.pending.nextSetBit(0));
+            } else if (d.array == null && job.tasks() > 0) {
+                d.array = job.spec(0);
             }
         }
         return d;
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -97,7 +97,7 @@
         if (p.there()) {
             there += sign;
             starting += p.starting() ? sign : 0;
-            serviceCpus += p.job.spec.service() ? sign * p.job.spec.cpus() : 0;
+            serviceCpus += p.spec.service() ? sign * p.spec.cpus() : 0;
         }
     }
 
@@ -129,9 +129,9 @@
     }
 
     private void use(Placement p, int sign) {
-        usedCpus += sign * p.job.spec.cpus();
-        usedGpus += sign * p.job.spec.gpus();
-        usedMemory += sign * p.job.spec.memory();
+        usedCpus += sign * p.spec.cpus();
+        usedGpus += sign * p.spec.gpus();
+        usedMemory += sign * p.spec.memory();
     }
 
     public boolean hasRoom(JobSpec job) {
--- a/src/main/java/org/hollypick/core/ledger/Placement.java
+++ b/src/main/java/org/hollypick/core/ledger/Placement.java
@@ -1,6 +1,7 @@
 package org.hollypick.core.ledger;
 
 import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
 
 /** One attempt of a task that is, or may be, on a machine. */
 public final class Placement {
@@ -8,6 +9,8 @@
 
     public final Job job;
     public final int index;
+    /** What the task takes. */
+    public final JobSpec spec;
     public final long attempt;
     public final Machine machine;
     public final String taskId;
@@ -33,6 +36,7 @@
     public Placement(Job job, int index, long attempt, Machine machine, long now) {
         this.job = job;
         this.index = index;
+        this.spec = job.spec(index);
         this.attempt = attempt;
         this.machine = machine;
         this.taskId = job.spec.id() + "/" + index;
--- a/src/main/java/org/hollypick/core/placement/Placer.java
+++ b/src/main/java/org/hollypick/core/placement/Placer.java
@@ -19,8 +19,7 @@
     public record Choice(Machine machine, List<Placement> victims) {}
 
     /** Whether the job's tasks may start here, given where its other tasks may be; room is another question. */
-    public static boolean allowed(Job job, Machine m) {
-        JobSpec s = job.spec;
+    public static boolean allowed(Job job, JobSpec s, Machine m) {
         if (!m.type.fits(s) || s.zone() != null && !s.zone().equals(m.zone) || m.spot && !s.spot()) {
             return false;
         }
@@ -35,8 +34,8 @@
         return m.usable() && now >= m.noRoomUntil;
     }
 
-    private static boolean possible(Job job, Machine m, long now) {
-        return takesTasks(m, now) && !m.failedJobs.contains(job.spec.id()) && allowed(job, m);
+    private static boolean possible(Job job, JobSpec s, Machine m, long now) {
+        return takesTasks(m, now) && !m.failedJobs.contains(job.spec.id()) && allowed(job, s, m);
     }
 
     /** Whether a replica could go on at once on another machine of its zone: one with room and its image, and none of its own job. */
@@ -51,13 +50,13 @@
         return false;
     }
 
-    /** The best machine with room for a task of an array, or null. */
-    public static Machine choose(Job job, Collection<Machine> machines, long now) {
+    /** The best machine with room for a task of an array, or null; {@code s}: what that task takes. */
+    public static Machine choose(Job job, JobSpec s, Collection<Machine> machines, long now) {
         Machine best = null;
         double bestScore = 0;
         for (Machine m : machines) {
-            if (m.hasRoom(job.spec) && possible(job, m, now)) {
-                double score = arrayScore(job, m);
+            if (m.hasRoom(s) && possible(job, s, m, now)) {
+                double score = arrayScore(s, m);
                 if (best == null || score > bestScore) {
                     best = m;
                     bestScore = score;
@@ -75,8 +74,8 @@
     }
 
     /** Higher is better: the image's fetch time first, then the right kind, tight packing. */
-    private static double arrayScore(Job job, Machine m) {
-        return -fetchS(job.spec, m) + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0) - (m.surplus ? Constants.SURPLUS_S : 0);
+    private static double arrayScore(JobSpec s, Machine m) {
+        return -fetchS(s, m) + 2 * m.usedCpus / m.type.cpus() + (m.spot ? 3 : 0) - (m.surplus ? Constants.SURPLUS_S : 0);
     }
 
     /**
@@ -96,7 +95,7 @@
     private static boolean fetching(Machine m, String image) {
         if (m.startingTasks() > 0) {
             for (Placement p : m.placements.values()) {
-                if (p.starting() && p.job.spec.image().equals(image)) {
+                if (p.starting() && p.spec.image().equals(image)) {
                     return true;
                 }
             }
@@ -115,7 +114,7 @@
         double bestScore = 0;
         Object2IntOpenHashMap<Machine> replicas = replicas(job);
         for (Machine m : machines) {
-            if (!possible(job, m, now)) {
+            if (!possible(job, job.spec, m, now)) {
                 continue;
             }
             double score = serviceScore(job, m, replicas.getInt(m), allServices);
@@ -128,7 +127,7 @@
             }
             double lost = 0;
             for (Placement p : victims) {
-                lost += p.state() == Placement.State.RUNNING ? (now - p.runningAt) / 1000.0 * p.job.spec.cpus() : 0;
+                lost += p.state() == Placement.State.RUNNING ? (now - p.runningAt) / 1000.0 * p.spec.cpus() : 0;
             }
             score -= lost / Constants.LOST_PER_FETCH_S;
             if (best == null || score > bestScore) {
@@ -157,9 +156,9 @@
                 break;
             }
             chosen.add(p);
-            cpus += p.job.spec.cpus();
-            gpus += p.job.spec.gpus();
-            memory += p.job.spec.memory();
+            cpus += p.spec.cpus();
+            gpus += p.spec.gpus();
+            memory += p.spec.memory();
         }
         return fits(job.spec, cpus, gpus, memory) ? chosen : null;
     }
