--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -177,6 +177,8 @@
     public static final double PROBE_SHARE = 1 / 3.0;
     /** Direct calls under way at most: bounds sockets and what the answers cost at once. */
     public static final int DIRECT_OPEN = 96;
+    /** Those of them at most that go to machines which left one unanswered: hundreds may hang or be cut off, and the others need orders. */
+    public static final int DIRECT_DOUBTFUL = 64;
     /** Orders in one answer or call at most: 64 KiB. */
     public static final int ORDERS_MAX = 300;
     /** Milliseconds for which nearly all machines are silent until the owner gives up its lead: others may reach them, and worker leases are
--- a/src/main/java/org/hollypick/control/Reach.java
+++ b/src/main/java/org/hollypick/control/Reach.java
@@ -79,13 +79,13 @@
         return elsewhere(m, now) && now - m.elsewhereSince < Constants.REACH_PATIENCE_MS;
     }
 
-    /** Whether so many machines are only out of this owner's reach that another should lead. */
-    static boolean pathAtFault(Collection<Machine> machines, long now) {
+    /** Machines that are only out of this owner's reach. */
+    static int beyond(Collection<Machine> machines, long now) {
         int count = 0;
         for (Machine m : machines) {
             count += elsewhere(m, now) && m.unanswered >= Constants.UNANSWERED ? 1 : 0;
         }
-        return count >= Constants.REACH_AT_FAULT;
+        return count;
     }
 
     // ---- on the other side ----
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -239,7 +239,7 @@
             scheduler.passWanted |= now >= nextPass;
             rentals.giveBack(workers.silent(now, smoothSince), "silent");
             if (workers.cutOff(now)) {
-                LOG.info("cut off from the machines, resigning baton={}", baton);
+                LOG.info("cut off from the machines, resigning baton={} {}", baton, workers.seen());
                 resign.run();
             }
             workers.contactUnheard();
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -44,6 +44,9 @@
     private long troubleUntil;
     /** Zones nearly all of whose machines leave questions open. */
     private Set<String> dark = Set.of();
+    private String seen = "";
+    /** Direct calls under way to machines that left one unanswered. */
+    private int openDoubtful;
 
     Workers(Runtime runtime, Settings settings, Scheduler scheduler, WorkerClient client, Map<String, MachineType> types,
             BooleanSupplier acting, Runnable pump) {
@@ -131,11 +134,17 @@
         if (m.heard && !probe && orders.stream().allMatch(o -> o.verb() == Order.Verb.FORGET)) {
             return;
         }
+        boolean doubtful = m.unanswered > 0;
+        if (doubtful && openDoubtful >= Constants.DIRECT_DOUBTFUL) {
+            return; // a zone that is cut off may not take every call from those that answer
+        }
         long tenure = m.up ? m.tenure : 1;
         scheduler.ledger.sentDirect(m, orders);
         open++;
+        openDoubtful += doubtful ? 1 : 0;
         client.command(m.addr, scheduler.baton, tenure, orders, acting, r -> {
             open--;
+            openDoubtful -= doubtful ? 1 : 0;
             answered(m, orders, tenure, r);
             contactUnheard();
             if (!scheduler.ordersUrgent.isEmpty() || !scheduler.ordersDirty.isEmpty() || !scheduler.freed.isEmpty()) {
@@ -215,6 +224,7 @@
             }
         }
         reach.ask(unsure);
+        seen = "talking=" + talking + " doubtful=" + doubtful + " elsewhere=" + Reach.beyond(scheduler.machines.values(), now);
         // Those that left a question open against those heard of just now: counting only the silent ones would give them up one by one
         // while this node is cut off from all of them.
         double share = doubtful / (double) Math.max(1, doubtful + talking);
@@ -234,6 +244,11 @@
         return doubtful >= Constants.DARK_MACHINES && doubtful >= Constants.CUT_OFF_SHARE * (doubtful + talking);
     }
 
+    /** What the last look found, for the log. */
+    String seen() {
+        return seen;
+    }
+
     /** Zones that seem to be cut off: what is rented there can't be reached. */
     Set<String> dark() {
         return dark;
@@ -241,6 +256,6 @@
 
     /** Another controller should lead: nearly all machines have been silent for long, or others reach those that are. */
     boolean cutOff(long now) {
-        return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS || Reach.pathAtFault(scheduler.machines.values(), now);
+        return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS || Reach.beyond(scheduler.machines.values(), now) >= Constants.REACH_AT_FAULT;
     }
 }
