--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.hollypick.api.GraphApi;
 import org.hollypick.api.UserApi;
 import org.hollypick.cloud.CloudClient;
 import org.hollypick.cluster.Membership;
@@ -14,6 +15,7 @@
 import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
+import org.hollypick.control.Graphs;
 import org.hollypick.control.JobRecords;
 import org.hollypick.control.Term;
 import org.hollypick.core.Dependencies;
@@ -45,8 +47,11 @@
     private final JobRecords jobs;
     private final UserApi users;
     private final Keeper keeper;
+    /** Null unless the operators switched graphs on. */
+    private final GraphApi graphs;
     /** Shared with the term; prices in it follow the cloud. */
     private final Map<String, MachineType> types = new HashMap<>();
+    private final Graphs.Maker maker;
     private Term term;
 
     public Node(Runtime runtime, Settings settings, OperatorSettings operator) {
@@ -54,6 +59,12 @@
     }
 
     public Node(Runtime runtime, Settings settings, OperatorSettings operator, Dependencies dependencies) {
+        this(runtime, settings, operator, dependencies, null);
+    }
+
+    /** {@code maker}: makes graphs, if they are switched on; null: as usual. */
+    public Node(Runtime runtime, Settings settings, OperatorSettings operator, Dependencies dependencies, Graphs.Maker maker) {
+        this.maker = maker;
         this.runtime = runtime;
         this.settings = settings;
         this.operator = operator;
@@ -64,8 +75,9 @@
         this.membership = new Membership(runtime, state, settings, view, this::leadership);
         this.dependencies = dependencies;
         this.jobs = new JobRecords(runtime, settings, state, view, membership, dependencies);
-        this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled, this::kept);
         this.users = new UserApi(runtime, settings, view, membership, jobs, dependencies, () -> term, () -> types.isEmpty() ? null : types);
+        this.graphs = operator.graphs() ? new GraphApi(runtime, settings, view, membership, users, () -> term, () -> types.isEmpty() ? null : types) : null;
+        this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled, this::kept);
     }
 
     public void start() {
@@ -116,7 +128,7 @@
             }
             state.setOwner(true);
             term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, () -> membership.entitled(baton),
-                    membership::reachesState, () -> membership.fence(baton), membership::resign, membership.terms() == 1);
+                    membership::reachesState, () -> membership.fence(baton), membership::resign, membership.terms() == 1, maker);
             term.start();
         }
         membership.claimIfFree();
@@ -125,11 +137,15 @@
     // ---- requests ----
 
     /** A request of users, workers or health checks. */
-    public void handle(String method, String path, byte[] bytes, Consumer<Answer> answer) {
+    public void handle(String method, String target, byte[] bytes, Consumer<Answer> answer) {
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
         if (path.equals("/hello")) {
             answer.accept(method.equals("POST") ? hello(bytes) : notAllowed());
         } else if (path.equals("/ready")) {
             answer.accept(method.equals("GET") ? ready() : notAllowed());
+        } else if (graphs != null && (path.equals("/graphs") || path.startsWith("/graphs/"))) {
+            graphs.handle(method, target, bytes, answer);
         } else if (path.equals("/submissions")) {
             if (method.equals("POST")) {
                 users.submit(Codec.read(bytes, false), answer);
@@ -174,6 +190,10 @@
             Term.reach(runtime, body == null ? Codec.object() : body, membership.reachesState(), answer);
             return;
         }
+        if (graphs != null && path.equals("/graph") && method.equals("POST")) {
+            graphs.passed(Codec.read(bytes, true), answer);
+            return;
+        }
         if (path.equals("/jobs") && method.equals("POST")) {
             answer.accept(users.meshStatus(Codec.read(bytes, true)));
         } else if (path.startsWith("/jobs/") && path.endsWith("/abort") && method.equals("POST")) {
--- /dev/null
+++ b/src/main/java/org/hollypick/api/GraphApi.java
@@ -0,0 +1,288 @@
+package org.hollypick.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.Membership;
+import org.hollypick.cluster.View;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.control.Graphs;
+import org.hollypick.control.Term;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.graph.Graph;
+import org.hollypick.core.graph.NodeSpec;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Runtime;
+import org.hollypick.records.GraphRecords;
+import org.hollypick.records.JobCodec;
+import org.hollypick.records.Records;
+
+/** What users and running tasks ask about graphs, on any node: the owner answers, the others pass the call on to it once. */
+public final class GraphApi {
+    private final Runtime runtime;
+    private final Settings settings;
+    private final View view;
+    private final Membership membership;
+    private final UserApi jobs;
+    private final Supplier<Term> term;
+    private final Supplier<Map<String, MachineType>> types;
+
+    public GraphApi(Runtime runtime, Settings settings, View view, Membership membership, UserApi jobs, Supplier<Term> term,
+            Supplier<Map<String, MachineType>> types) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.view = view;
+        this.membership = membership;
+        this.jobs = jobs;
+        this.term = term;
+        this.types = types;
+    }
+
+    /** A call from outside; {@code path} begins with {@code /graphs}. */
+    public void handle(String method, String path, byte[] bytes, Consumer<Answer> answer) {
+        JsonNode body = Codec.read(bytes, false);
+        if (method.equals("POST") && (body == null || !body.isObject())) {
+            answer.accept(Answer.error(400, "not a CBOR map"));
+            return;
+        }
+        if (term.get() != null && term.get().acting()) {
+            owned(method, path, body, answer);
+            return;
+        }
+        String owner = owner();
+        if (owner == null) {
+            answer.accept(Answer.later("no owner"));
+            return;
+        }
+        ObjectNode passed = Codec.object().put("method", method).put("path", path);
+        passed.set("body", body);
+        runtime.call(new Call(owner, "POST", "/graph", passed, Constants.GRAPH_PASS_MS, true), r -> {
+            if (r.ok() && r.body().path("status").isInt() && r.body().path("status").asInt() != 503) {
+                answer.accept(Answer.of(r.body().path("status").asInt(), r.body().path("body")));
+            } else {
+                answer.accept(Answer.later("owner"));
+            }
+        });
+    }
+
+    /** A call that another controller passes on. */
+    public void passed(JsonNode call, Consumer<Answer> answer) {
+        if (call == null || term.get() == null || !term.get().acting()) {
+            answer.accept(Answer.later("not the owner"));
+            return;
+        }
+        owned(call.path("method").asText(), call.path("path").asText(), call.path("body").isObject() ? call.path("body") : null,
+                a -> answer.accept(Answer.of(200, Codec.object().put("status", a.status()).set("body", a.body()))));
+    }
+
+    private String owner() {
+        String leader = membership.leader();
+        for (Settings.Sibling s : settings.siblings()) {
+            if (s.node().equals(leader)) {
+                return s.addr();
+            }
+        }
+        return null;
+    }
+
+    private void owned(String method, String path, JsonNode body, Consumer<Answer> answer) {
+        String[] query = path.split("\\?", 2);
+        List<String> parts = List.of(query[0].split("/"));
+        boolean post = method.equals("POST");
+        String id = parts.size() > 2 ? parts.get(2) : body == null ? "" : body.path("name_id").asText("");
+        if (!JobCodec.isId(id)) {
+            answer.accept(parts.size() > 2 ? Answer.error(404, "no such graph") : Answer.error(400, "name_id"));
+            return;
+        }
+        switch (parts.size()) {
+            case 2 -> submit(post, id, body, answer);
+            case 3 -> show(post, id, from(query), answer);
+            case 4 -> {
+                if (post && parts.get(3).equals("withdraw")) {
+                    jobs.withdraw(id, answer);
+                } else if (post && parts.get(3).equals("nodes")) {
+                    children(id, body, answer);
+                } else {
+                    answer.accept(Answer.error(404, "no such path"));
+                }
+            }
+            case 6 -> node(post, id, parts, body, answer);
+            default -> answer.accept(Answer.error(404, "no such path"));
+        }
+    }
+
+    private static int from(String[] query) {
+        if (query.length > 1 && query[1].startsWith("from=") && query[1].substring(5).matches("[0-9]{1,6}")) {
+            return Integer.parseInt(query[1].substring(5));
+        }
+        return 0;
+    }
+
+    private void submit(boolean post, String id, JsonNode body, Consumer<Answer> answer) {
+        if (!post) {
+            answer.accept(Answer.error(405, "method not allowed"));
+            return;
+        }
+        View.Entry e = view.get(Keys.job(id));
+        if (e != null && Records.isOver(e.data()) && e.data().path("ended_graph").asBoolean()) {
+            show(false, id, 0, answer); // a late retry
+            return;
+        }
+        if (e != null && !GraphRecords.isGraph(e.data())) {
+            answer.accept(Answer.error(409, "the id is a job's"));
+            return;
+        }
+        if (types.get() == null) {
+            answer.accept(Answer.later("starting"));
+            return;
+        }
+        GraphRecords.Head head;
+        List<NodeSpec> nodes;
+        try {
+            head = GraphCodec.head(id, body);
+            nodes = GraphCodec.nodes(body, JobCodec.write(head.base()));
+        } catch (GraphCodec.Malformed x) {
+            answer.accept(Answer.error(400, x.getMessage()));
+            return;
+        }
+        if (refused(nodes, answer)) {
+            return;
+        }
+        boolean last = !body.path("more").asBoolean();
+        term.get().graphs.submit(id, head, nodes, last, o -> answer.accept(answer(o)));
+    }
+
+    private boolean refused(List<NodeSpec> nodes, Consumer<Answer> answer) {
+        for (NodeSpec n : nodes) {
+            String never = Admission.neverRuns(n.task(), settings, types.get());
+            if (never != null) {
+                answer.accept(Answer.error(422, "node " + n.id() + ": " + never));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static Answer answer(Graphs.Outcome o) {
+        return o.status() == 503 ? Answer.later(o.body().path("error").asText()) : Answer.of(o.status(), o.body());
+    }
+
+    private void show(boolean post, String id, int from, Consumer<Answer> answer) {
+        if (post) {
+            answer.accept(Answer.error(405, "method not allowed"));
+            return;
+        }
+        jobs.status(id, a -> {
+            Graphs.Live live = term.get() != null && term.get().acting() ? term.get().graphs.find(id) : null;
+            if (a.status() != 200) {
+                answer.accept(a);
+            } else if (live != null) {
+                ObjectNode b = GraphCodec.describe(live, id, from);
+                b.put("status", a.body().path("status").asText());
+                ended(id, b);
+                answer.accept(Answer.of(200, b));
+            } else {
+                ObjectNode b = a.body().deepCopy();
+                ended(id, b);
+                answer.accept(Answer.of(200, b.put("graph", id)));
+            }
+        });
+    }
+
+    /** What a graph's own record says once it is over. */
+    private void ended(String id, ObjectNode b) {
+        View.Entry e = view.get(Keys.job(id));
+        if (e != null && e.data().path("ended_graph").asBoolean()) {
+            for (String field : List.of("nodes", "failed", "cancelled", "why")) {
+                if (!b.has(field)) {
+                    b.set(field, e.data().path(field));
+                }
+            }
+        }
+    }
+
+    private void children(String id, JsonNode body, Consumer<Answer> answer) {
+        Graphs.Live live = term.get().graphs.find(id);
+        if (live == null || live.job() == null) {
+            missing(id, answer);
+            return;
+        }
+        if (!body.path("parent").isTextual() || !body.path("try").isIntegralNumber()) {
+            answer.accept(Answer.error(400, "parent, try"));
+            return;
+        }
+        List<NodeSpec> nodes;
+        try {
+            nodes = GraphCodec.nodes(body, JobCodec.write(live.job().spec));
+        } catch (GraphCodec.Malformed x) {
+            answer.accept(Answer.error(400, x.getMessage()));
+            return;
+        }
+        if (types.get() == null) {
+            answer.accept(Answer.later("starting"));
+        } else if (!refused(nodes, answer)) {
+            String next = body.path("then").isTextual() ? body.path("then").asText() : null;
+            term.get().graphs.children(id, body.path("parent").asText(), Codec.u64(body.path("try")), nodes, next, o -> answer.accept(answer(o)));
+        }
+    }
+
+    /** A graph that isn't known here as live: over, or never submitted, which only a fresh view tells. */
+    private void missing(String id, Consumer<Answer> answer) {
+        jobs.status(id, a -> answer.accept(a.status() == 200 ? Answer.error(409, "the graph is over, or its id a job's") : a));
+    }
+
+    private void node(boolean post, String id, List<String> parts, JsonNode body, Consumer<Answer> answer) {
+        String node = parts.get(4);
+        String what = parts.get(5);
+        Graphs.Live live = term.get().graphs.find(id);
+        if (!parts.get(3).equals("nodes") || !what.equals("result") && !what.equals("withdraw")) {
+            answer.accept(Answer.error(404, "no such path"));
+        } else if (live == null || post && live.job() == null) {
+            missing(id, answer);
+        } else if (post && what.equals("withdraw")) {
+            term.get().graphs.withdraw(id, node, o -> answer.accept(answer(o)));
+        } else if (post) {
+            keep(id, node, body, answer);
+        } else if (what.equals("result")) {
+            result(live, node, answer);
+        } else {
+            answer.accept(Answer.error(405, "method not allowed"));
+        }
+    }
+
+    private void keep(String id, String node, JsonNode body, Consumer<Answer> answer) {
+        if (!body.path("try").isIntegralNumber()) {
+            answer.accept(Answer.error(400, "try"));
+            return;
+        }
+        try {
+            term.get().graphs.result(id, node, Codec.u64(body.path("try")), GraphCodec.result(body), o -> answer.accept(answer(o)));
+        } catch (GraphCodec.Malformed x) {
+            answer.accept(Answer.error(400, x.getMessage()));
+        }
+    }
+
+    private static void result(Graphs.Live live, String node, Consumer<Answer> answer) {
+        int i = live.graph().find(node);
+        if (i < 0) {
+            answer.accept(Answer.error(404, "no such node"));
+            return;
+        }
+        Graph.State state = live.graph().state(i);
+        if (state != Graph.State.DONE) {
+            boolean never = state == Graph.State.FAILED || state == Graph.State.CANCELLED;
+            answer.accept(never ? Answer.error(409, state.name().toLowerCase(Locale.ROOT) + ": " + live.graph().reason(i)) : Answer.later("not done yet"));
+            return;
+        }
+        JsonNode result = live.resultOf(i);
+        answer.accept(result == null ? Answer.error(404, "the node is done and gave no result") : Answer.of(200, result));
+    }
+}
--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -86,7 +86,7 @@
             answer.accept(Answer.later("starting"));
             return;
         }
-        String never = neverRuns(spec);
+        String never = Admission.neverRuns(spec, settings, types.get());
         if (never != null) {
             unlessKnown(id, Answer.error(422, never), answer);
             return;
@@ -149,25 +149,6 @@
         });
     }
 
-    private String neverRuns(JobSpec s) {
-        Settings.Team team = settings.teams().get(s.team());
-        if (team == null && !s.team().isEmpty()) {
-            return "unknown team";
-        }
-        boolean fits = false;
-        for (MachineType t : types.get().values()) {
-            fits |= t.fits(s);
-        }
-        if (!fits) {
-            return "a task fits no allowed machine type";
-        }
-        int at = s.service() ? s.tasks() : 1;
-        if (team != null && (team.cpusMax() > 0 && at * s.cpus() > team.cpusMax() || team.gpusMax() > 0 && at * s.gpus() > team.gpusMax())) {
-            return "more than the team's limit";
-        }
-        return null;
-    }
-
     // ---- polls ----
 
     public void status(String id, Consumer<Answer> answer) {
--- a/src/main/java/org/hollypick/cluster/Keys.java
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -14,6 +14,9 @@
     /** Sorts behind the jobs: a read by pages that shows a job shows all that its record names here. */
     private static final String AWAITED = "h/w/";
 
+    /** Sorts behind the jobs, as what they await does. */
+    public static final String GRAPH_LOG = "h/x/";
+
     private Keys() {}
 
     public static String member(String node) {
@@ -38,6 +41,20 @@
         return AWAITED + node + "/" + Long.toUnsignedString(member) + "/" + count;
     }
 
+    /** The beginning of the keys of a graph's log. */
+    public static String graphLog(String id) {
+        return GRAPH_LOG + id + "/";
+    }
+
+    /** A key that is used once. */
+    public static String graphLog(String id, long baton, long count) {
+        return graphLog(id) + Long.toUnsignedString(baton) + "/" + count;
+    }
+
+    public static long graphLogNumber(String key) {
+        return Long.parseUnsignedLong(key.substring(key.lastIndexOf('/') + 1));
+    }
+
     public static String sizes(String node) {
         return SIZES + node;
     }
--- a/src/main/java/org/hollypick/config/OperatorSettings.java
+++ b/src/main/java/org/hollypick/config/OperatorSettings.java
@@ -11,9 +11,9 @@
 import us.bpsm.edn.parser.Parsers;
 
 /** The operators' own, optional settings: one EDN map such as {@code {:idle-s 45 :warm-cores 4}}. */
-public record OperatorSettings(long idleMs, double warmCores, double firstShare) {
+public record OperatorSettings(long idleMs, double warmCores, double firstShare, boolean graphs, long graphKeepMs) {
     public static OperatorSettings defaults() {
-        return new OperatorSettings(Constants.IDLE_MS, Constants.WARM_CORES, Constants.FIRST_SHARE);
+        return new OperatorSettings(Constants.IDLE_MS, Constants.WARM_CORES, Constants.FIRST_SHARE, false, (long) (Constants.GRAPH_KEEP_S * 1000));
     }
 
     public static OperatorSettings read(Path file) {
@@ -43,16 +43,27 @@
         long idle = d.idleMs;
         double warm = d.warmCores;
         double first = d.firstShare;
+        boolean graphs = d.graphs;
+        long keep = d.graphKeepMs;
         for (Map.Entry<?, ?> e : map.entrySet()) {
             String key = e.getKey() instanceof Keyword k ? k.getName() : String.valueOf(e.getKey());
             switch (key) {
                 case "idle-s" -> idle = (long) (number(key, e.getValue(), 0, 86_400) * 1000);
                 case "warm-cores" -> warm = number(key, e.getValue(), 0, 10_000);
                 case "first-share" -> first = number(key, e.getValue(), 0, 1);
+                case "graphs" -> graphs = flag(key, e.getValue());
+                case "graph-keep-s" -> keep = (long) (number(key, e.getValue(), 0, 30 * 86_400) * 1000);
                 default -> throw new ConfigException("operator settings: unknown key :" + key);
             }
         }
-        return new OperatorSettings(idle, warm, first);
+        return new OperatorSettings(idle, warm, first, graphs, keep);
+    }
+
+    private static boolean flag(String key, Object value) {
+        if (value instanceof Boolean b) {
+            return b;
+        }
+        throw new ConfigException("operator settings: :" + key + " must be true or false");
     }
 
     private static double number(String key, Object value, double low, double high) {
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -1,8 +1,10 @@
 package org.hollypick.control;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.hollypick.cluster.Keys;
 import org.hollypick.core.Dependencies;
@@ -26,24 +28,31 @@
     private final Dependencies dependencies;
     private final StateClient state;
     private final Runnable changed;
+    /** What a job's record says once it is over, and who hears that it is. */
+    private final BiFunction<Job, String, ObjectNode> record;
+    private final Consumer<String> ended;
     /** Jobs whose cancellation went out and may be, or become, durable. */
     private final Set<String> abortsInDoubt = new HashSet<>();
     /** The newest change by which a job was cancelled in this term, as far as this node knows. */
     private long cancelledAt;
 
-    Ends(Runtime runtime, Scheduler scheduler, Dependencies dependencies, StateClient state, Runnable changed) {
+    Ends(Runtime runtime, Scheduler scheduler, Dependencies dependencies, StateClient state, Runnable changed,
+            BiFunction<Job, String, ObjectNode> record, Consumer<String> ended) {
         this.baton = scheduler.baton;
         this.runtime = runtime;
         this.scheduler = scheduler;
         this.dependencies = dependencies;
         this.state = state;
         this.changed = changed;
+        this.record = record;
+        this.ended = ended;
     }
 
     /** The end is durable. */
     void over(Job job, String status) {
         String id = job.spec.id();
         scheduler.jobs.remove(id);
+        ended.accept(id);
         abortsInDoubt.remove(id);
         if (status.equals(Records.ABORTED)) {
             scheduler.abort(job, runtime.now());
@@ -75,7 +84,7 @@
             abortsInDoubt.add(id);
         }
         StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order)
-                .put(Keys.job(id), Records.over(status, job.done.cardinality()));
+                .put(Keys.job(id), record.apply(job, status));
         state.commit(txn, r -> {
             if (r.status() != Reply.NO_ANSWER && --job.endsInDoubt == 0) {
                 abortsInDoubt.remove(id);
@@ -117,11 +126,12 @@
             }
             scheduler.progressDirty.remove(job);
             job.closing = true;
-            commit(job, Records.DONE, r -> {
+            String status = job.successful() ? Records.DONE : Records.ABORTED;
+            commit(job, status, r -> {
                 job.closing = false;
                 if (r.ok()) {
-                    LOG.info("job done job={} baton={}", job.spec.id(), baton);
-                    over(job, Records.DONE);
+                    LOG.info("job {} job={} baton={}", status, job.spec.id(), baton);
+                    over(job, status);
                 } else if (job.status == Job.Status.LIVE) {
                     scheduler.progressDirty.add(job);
                 }
--- /dev/null
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -0,0 +1,615 @@
+package org.hollypick.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.View;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Job;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.graph.Graph;
+import org.hollypick.core.graph.NodeSpec;
+import org.hollypick.core.graph.Refusal;
+import org.hollypick.core.ledger.Placement;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.records.GraphRecords;
+import org.hollypick.records.JobCodec;
+import org.hollypick.records.Records;
+import org.hollypick.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Task graphs in one term. What a call changes is taken in at once, and blocks what it has to block; what it allows, and the answer, wait until it is
+ * durable. Each graph has a log of records, written one transaction after the other under keys that were never used, conditional on the baton
+ * and on the graph's own record: after its end nothing can be added.
+ */
+public final class Graphs {
+    private static final Logger LOG = LoggerFactory.getLogger(Graphs.class);
+
+    /** How a call ended: {@code status} for the user, and what it tells. */
+    public record Outcome(int status, ObjectNode body) {
+        static Outcome refused(Refusal r) {
+            return refused(r.status(), r.why());
+        }
+
+        static Outcome refused(int status, String why) {
+            return new Outcome(status, Codec.object().put("error", why));
+        }
+    }
+
+    /** Takes a graph apart into what the core knows and what is recorded; tests put faulty ones in its place. */
+    public interface Maker {
+        Graph make(int retries, IntConsumer release);
+    }
+
+    /** Something to be recorded, and who wants to know when it is. */
+    private record Entry(ObjectNode op, int bytes, Runnable durable) {}
+
+    /** One graph that this term knows. */
+    public final class Live implements GraphRecords.Reader {
+        private final String id;
+        private final GraphRecords.Head head;
+        private final Graph graph;
+        private final Map<Integer, JsonNode> results = new HashMap<>();
+        private int resultBytes;
+        private final ArrayDeque<Entry> unwritten = new ArrayDeque<>();
+        private final IntArrayList releasedEarly = new IntArrayList();
+        private final long since = runtime.now();
+        private Job job;
+        private int loggedNodes;
+        private int loggedSpecs;
+        private boolean writing;
+        private boolean sealing;
+        private long notBefore;
+        private long overAt;
+
+        Live(String id, GraphRecords.Head head) {
+            this.id = id;
+            this.head = head;
+            this.graph = maker.make(head.retries(), this::released);
+        }
+
+        private void released(int node) {
+            if (job == null) {
+                releasedEarly.add(node);
+            } else {
+                scheduler.release(job, node);
+            }
+        }
+
+        private void started(Job started) {
+            job = started;
+            releasedEarly.forEach((IntConsumer) node -> scheduler.release(job, node));
+        }
+
+        @Override
+        public void result(int node, JsonNode result) {
+            results.put(node, result);
+            resultBytes += Records.bytes(result);
+        }
+
+        private boolean over() {
+            return overAt > 0;
+        }
+
+        public Graph graph() {
+            return graph;
+        }
+
+        public Job job() {
+            return job;
+        }
+
+        /** The result that stands for the node; null without one. */
+        public JsonNode resultOf(int node) {
+            return results.get(graph.speaker(node));
+        }
+
+        /** Nodes that were added since the last time become entries, as many to one as fit a record. */
+        private void logNodes(String parent, String next) {
+            int to = graph.count();
+            if (loggedNodes == to && next != null) {
+                log(GraphRecords.nodes(graph, to, to, loggedSpecs, parent, next), () -> { });
+            }
+            while (loggedNodes < to) {
+                int end = Math.min(to, loggedNodes + Constants.GRAPH_NODES_AN_ENTRY);
+                ObjectNode op = entry(loggedNodes, end, parent, next);
+                while (end - loggedNodes > 1 && packed(op) > room) {
+                    end = loggedNodes + (end - loggedNodes) / 2;
+                    op = entry(loggedNodes, end, parent, next);
+                }
+                int durable = end;
+                log(op, () -> graph.durable(durable));
+                for (int i = loggedNodes; i < end; i++) {
+                    loggedSpecs = Math.max(loggedSpecs, graph.specNumber(i) + 1);
+                }
+                loggedNodes = end;
+            }
+        }
+
+        /** The continuation is named with the entry that holds it, or with the last one. */
+        private ObjectNode entry(int from, int to, String parent, String next) {
+            boolean last = to == graph.count();
+            return GraphRecords.nodes(graph, from, to, loggedSpecs, parent, last ? next : null);
+        }
+
+        private void log(ObjectNode op, Runnable durable) {
+            unwritten.add(new Entry(op, packed(op), durable));
+        }
+
+        /** Ends nodes in memory at once, so that they don't start; whoever asked hears when that is durable. */
+        private void end(int node, Graph.State as, String why, Runnable durable) {
+            Graph.Ended ended = graph.end(node, as, why);
+            for (int i : ended.all()) {
+                scheduler.withdraw(job, i);
+            }
+            log(GraphRecords.ended(ended.roots(), as, why), durable);
+        }
+
+        private int packed(ObjectNode op) {
+            return Records.bytes(GraphRecords.record(id, List.of(op)));
+        }
+    }
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final View view;
+    private final StateClient state;
+    private final Scheduler scheduler;
+    private final Ends ends;
+    private final Runnable pump;
+    private final Maker maker;
+    private final long keepMs;
+    private final int room;
+    private final Map<String, Live> graphs = new LinkedHashMap<>();
+    /** Graphs that are over and whose nodes aren't forgotten, and since when. */
+    private final Map<String, Long> endedAt = new LinkedHashMap<>();
+    private long written;
+    private boolean dropping;
+
+    Graphs(Runtime runtime, Settings settings, View view, StateClient state, Scheduler scheduler, Ends ends, Runnable pump, Maker maker, long keepMs) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.view = view;
+        this.state = state;
+        this.scheduler = scheduler;
+        this.ends = ends;
+        this.pump = pump;
+        this.maker = maker;
+        this.keepMs = keepMs;
+        this.room = Records.room(settings);
+    }
+
+    // ---- from the records ----
+
+    /** A graph's record is there and it isn't over: all that earlier owners recorded of it is in the view. */
+    void appear(String id, JsonNode record, long stamp) {
+        if (graphs.containsKey(id)) {
+            return;
+        }
+        try {
+            Live g = replay(id, GraphRecords.head(record));
+            graphs.put(id, g);
+            LOG.info("graph graph={} nodes={} sealed={} baton={}", id, g.graph.count(), g.graph.sealed(), scheduler.baton);
+            g.started(scheduler.addJob(g.head.base(), g.graph, stamp, Codec.u64(record.path("under"))));
+        } catch (JobCodec.Invalid e) {
+            LOG.error("graph can't be read graph={} reason={}", id, e.getMessage());
+        }
+    }
+
+    private Live replay(String id, GraphRecords.Head head) throws JobCodec.Invalid {
+        Live g = new Live(id, head);
+        for (String key : logOf(id)) {
+            for (JsonNode op : GraphRecords.unpack(view.get(key).data())) {
+                GraphRecords.replay(op, g.graph, g);
+            }
+        }
+        g.loggedNodes = g.graph.count();
+        g.loggedSpecs = g.graph.specs().size();
+        g.sealing = g.graph.sealed();
+        return g;
+    }
+
+    /** The graph's records in the order in which they were written. */
+    private List<String> logOf(String id) {
+        List<String> keys = new ArrayList<>();
+        view.entries().keySet().forEach(key -> {
+            if (key.startsWith(Keys.graphLog(id))) {
+                keys.add(key);
+            }
+        });
+        keys.sort((a, b) -> view.stamp(a) != view.stamp(b) ? Long.compareUnsigned(view.stamp(a), view.stamp(b))
+                : Long.compare(Keys.graphLogNumber(a), Keys.graphLogNumber(b)));
+        return keys;
+    }
+
+    /** The graph's end is durable. */
+    void over(String id) {
+        Live g = graphs.get(id);
+        if (g != null && !g.over()) {
+            g.overAt = runtime.now();
+            endedAt.put(id, g.overAt);
+        }
+    }
+
+    // ---- calls ----
+
+    /** Any graph that can still be told about; null if there is none, or its nodes are forgotten. */
+    public Live find(String id) {
+        Live g = graphs.get(id);
+        View.Entry e = view.get(Keys.job(id));
+        if (g == null && e != null && Records.isOver(e.data()) && e.data().path("ended_graph").asBoolean()) {
+            return ended(id);
+        }
+        return g;
+    }
+
+    /** One that ended before this term. */
+    private Live ended(String id) {
+        if (logOf(id).isEmpty()) {
+            return null;
+        }
+        try {
+            Live g = replay(id, new GraphRecords.Head(null, 0, false)); // nothing is tried again any more
+            g.overAt = endedAt.computeIfAbsent(id, k -> runtime.now());
+            graphs.put(id, g);
+            return g;
+        } catch (JobCodec.Invalid e) {
+            LOG.error("graph can't be read graph={} reason={}", id, e.getMessage());
+            return null;
+        }
+    }
+
+    /**
+     * The first call of a graph, or a repeated one. {@code last}: nothing follows, so it is sealed. A further part of one that isn't sealed comes the same way.
+     */
+    public void submit(String id, GraphRecords.Head head, List<NodeSpec> nodes, boolean last, Consumer<Outcome> answer) {
+        Live g = graphs.get(id);
+        if (g != null) {
+            part(g, nodes, last, answer);
+            return;
+        }
+        Live made = new Live(id, head);
+        Refusal refusal = check(made, nodes, null, null);
+        if (refusal != null) {
+            answer.accept(Outcome.refused(refusal));
+            return;
+        }
+        graphs.put(id, made);
+        ObjectNode record = GraphRecords.live(head, scheduler.baton);
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.job(id), 0).when(Keys.ROSTER, scheduler.baton).put(Keys.job(id), record);
+        state.commit(txn, r -> {
+            if (!r.ok()) {
+                // It may be there, or come: then the view shows it, and a repeated call finds it.
+                graphs.remove(id, made);
+                View.Entry e = view.get(Keys.job(id));
+                if (e != null && !Records.isOver(e.data()) && GraphRecords.isGraph(e.data())) {
+                    appear(id, e.data(), e.stamp());
+                }
+                answer.accept(Outcome.refused(503, "state service"));
+                return;
+            }
+            LOG.info("graph graph={} baton={}", id, scheduler.baton);
+            made.started(scheduler.addJob(head.base(), made.graph, Codec.u64(r.body().path("epoch")), scheduler.baton));
+            part(made, nodes, last, answer);
+        });
+    }
+
+    private void part(Live g, List<NodeSpec> nodes, boolean last, Consumer<Outcome> answer) {
+        if (g.over()) {
+            answer.accept(Outcome.refused(409, "the graph is over"));
+            return;
+        }
+        if (g.job == null) {
+            answer.accept(Outcome.refused(503, "its first call is being recorded"));
+            return;
+        }
+        Refusal refusal = check(g, nodes, null, null);
+        boolean news = nodes.stream().anyMatch(n -> g.graph.find(n.id()) < 0);
+        if (refusal == null && news && g.sealing) {
+            refusal = new Refusal(409, "the graph is sealed");
+        }
+        if (refusal != null) {
+            answer.accept(Outcome.refused(refusal));
+            return;
+        }
+        g.graph.add(nodes, null, null);
+        g.logNodes(null, null);
+        boolean seals = last && !g.sealing;
+        if (seals) {
+            g.sealing = true;
+            g.log(GraphRecords.sealed(), g.graph::seal);
+        }
+        tell(g, news || seals ? last ? 201 : 202 : 200, nodes, answer);
+    }
+
+    /**
+     * Children of a running node. They are the same nodes when the same ids come again, from whatever attempt; from an attempt that isn't the running one they
+     * are refused. {@code next}: the one that the parent hands its result on to, or null.
+     */
+    public void children(String id, String parent, long attempt, List<NodeSpec> nodes, String next, Consumer<Outcome> answer) {
+        Live g = running(id, parent, attempt, answer);
+        if (g == null) {
+            return;
+        }
+        Refusal refusal = check(g, nodes, parent, next);
+        if (refusal != null) {
+            answer.accept(Outcome.refused(refusal));
+            return;
+        }
+        int before = g.graph.count();
+        boolean names = next != null && g.graph.then(g.graph.find(parent)) < 0;
+        g.graph.add(nodes, parent, next);
+        g.logNodes(parent, names ? next : null);
+        tell(g, g.graph.count() > before || names ? 201 : 200, nodes, answer);
+    }
+
+    /** A node's entry has to fit a record, whatever it awaits. */
+    private Refusal check(Live g, List<NodeSpec> nodes, String parent, String next) {
+        int most = room / Constants.GRAPH_AWAIT_BYTES;
+        for (NodeSpec n : nodes) {
+            if (n.awaits().size() > most) {
+                return new Refusal(422, "node " + n.id() + " awaits more than " + most + " nodes: join them through further nodes");
+            }
+        }
+        return g.graph.check(nodes, parent, next);
+    }
+
+    /** The graph, if that attempt of the node runs, as far as is known; else the refusal is told. */
+    private Live running(String id, String node, long attempt, Consumer<Outcome> answer) {
+        Live g = graphs.get(id);
+        if (g == null || g.over() || g.job == null) {
+            answer.accept(g != null && g.job == null && !g.over() ? Outcome.refused(503, "its first call is being recorded")
+                    : g == null ? Outcome.refused(404, "no such graph") : Outcome.refused(409, "the graph is over"));
+            return null;
+        }
+        int i = g.graph.find(node);
+        if (i < 0) {
+            answer.accept(Outcome.refused(422, "unknown node " + node));
+            return null;
+        }
+        Placement p = g.job.live.get(i);
+        boolean runs = p != null && p.attempt == attempt && p.there() && !p.stop && g.graph.state(i) == Graph.State.READY;
+        if (!runs) {
+            // After a takeover the machine that runs it may not have reported yet.
+            answer.accept(p == null && !scheduler.settled() && g.graph.state(i) == Graph.State.READY ? Outcome.refused(503, "not every machine has reported yet")
+                    : Outcome.refused(409, "attempt " + Long.toUnsignedString(attempt) + " of " + node + " is over"));
+            return null;
+        }
+        return g;
+    }
+
+    /** A running node's result: a small value, or a reference. The first one that is recorded stands. */
+    public void result(String id, String node, long attempt, JsonNode result, Consumer<Outcome> answer) {
+        Live g = running(id, node, attempt, answer);
+        if (g == null) {
+            return;
+        }
+        int most = Math.min(Constants.GRAPH_RESULT_BYTES, room / 2);
+        if (Records.bytes(result) > most) {
+            answer.accept(Outcome.refused(422, "a result of more than " + most + " bytes: store it elsewhere, and give a reference"));
+            return;
+        }
+        int i = g.graph.find(node);
+        JsonNode known = g.results.get(i);
+        if (known != null && !known.equals(result)) {
+            answer.accept(Outcome.refused(409, "another result is known"));
+            return;
+        }
+        if (known == null && g.resultBytes + Records.bytes(result) > Constants.GRAPH_RESULTS_BYTES) {
+            answer.accept(Outcome.refused(422, "the graph's results are larger than " + Constants.GRAPH_RESULTS_BYTES + " bytes together"));
+            return;
+        }
+        if (known == null) {
+            g.result(i, result);
+            g.log(GraphRecords.result(i, result), () -> { });
+        }
+        tell(g, known == null ? 201 : 200, List.of(), answer);
+    }
+
+    /** Cancels a node and what needs it. */
+    public void withdraw(String id, String node, Consumer<Outcome> answer) {
+        Live g = graphs.get(id);
+        int i = g == null ? -1 : g.graph.find(node);
+        if (i < 0 || g.job == null) {
+            answer.accept(Outcome.refused(404, "no such node"));
+            return;
+        }
+        if (g.over()) {
+            answer.accept(Outcome.refused(409, "the graph is over"));
+            return;
+        }
+        if (g.graph.state(i) != Graph.State.DONE && g.graph.state(i) != Graph.State.CANCELLED && g.graph.state(i) != Graph.State.FAILED) {
+            g.end(i, Graph.State.CANCELLED, "cancelled by its user", () -> { });
+        }
+        Graph.State became = g.graph.state(i);
+        tell(g, 200, List.of(), o -> answer.accept(o.status() == 200
+                ? new Outcome(200, Codec.object().put("node", node).put("state", became.name().toLowerCase(Locale.ROOT))) : o));
+    }
+
+    /** Answers once all that was taken in so far is durable; gives up after a while. */
+    private void tell(Live g, int status, List<NodeSpec> nodes, Consumer<Outcome> answer) {
+        boolean[] told = {false};
+        Runnable done = () -> {
+            if (!told[0]) {
+                told[0] = true;
+                ObjectNode body = Codec.object().put("graph", g.id);
+                ObjectNode tasks = body.putObject("tasks");
+                nodes.forEach(n -> tasks.put(n.id(), g.id + "/" + g.graph.find(n.id())));
+                answer.accept(new Outcome(status, body));
+            }
+        };
+        if (g.unwritten.isEmpty()) {
+            done.run();
+            return;
+        }
+        g.unwritten.add(new Entry(null, 0, done));
+        runtime.after(Constants.GRAPH_TELL_MS, () -> {
+            if (!told[0]) {
+                told[0] = true;
+                answer.accept(Outcome.refused(503, "state service"));
+            }
+        });
+        pump.run();
+    }
+
+    // ---- the loop ----
+
+    void flush() {
+        long now = runtime.now();
+        for (Live g : new ArrayList<>(graphs.values())) {
+            if (g.over() || g.job == null) {
+                continue;
+            }
+            for (int i : g.graph.takeFailing()) {
+                String why = "failed " + (g.head.retries() + 1) + " times";
+                g.end(i, Graph.State.FAILED, why, () -> {
+                    if (g.head.endOnFailure() && !g.over()) {
+                        ends.abort(g.job, done -> { });
+                    }
+                });
+            }
+            if (!g.graph.sealed() && !g.sealing && now - g.since > Constants.GRAPH_SEAL_MS) {
+                g.sealing = true; // nothing is added to it any more
+                LOG.info("graph not sealed in time graph={} baton={}", g.id, scheduler.baton);
+                ends.abort(g.job, done -> g.sealing = done);
+            }
+            if (g.job.finished() && g.unwritten.isEmpty()) {
+                scheduler.progressDirty.add(g.job);
+            }
+            write(g);
+        }
+        forget(now);
+    }
+
+    private void write(Live g) {
+        if (g.writing || g.unwritten.isEmpty() || runtime.now() < g.notBefore || state.crowded()) {
+            return;
+        }
+        int most = Math.min(settings.txnOps(), Constants.BODY_BYTES * 3 / 4 / settings.valueBytes());
+        List<Entry> taken = new ArrayList<>();
+        List<List<ObjectNode>> records = new ArrayList<>();
+        int left = 0;
+        for (Entry e : g.unwritten) {
+            if (e.op != null) {
+                if (left < e.bytes) {
+                    if (records.size() == most) {
+                        break;
+                    }
+                    records.add(new ArrayList<>());
+                    left = room;
+                }
+                records.get(records.size() - 1).add(e.op);
+                left -= e.bytes;
+            }
+            taken.add(e);
+        }
+        if (records.isEmpty()) {
+            taken.forEach(e -> taken(g, e));
+            return;
+        }
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, scheduler.baton).when(Keys.job(g.id), g.job.order);
+        for (List<ObjectNode> ops : records) {
+            String key = Keys.graphLog(g.id, scheduler.baton, written++);
+            txn.when(key, 0).put(key, GraphRecords.record(g.id, ops));
+        }
+        g.writing = true;
+        commit(g, txn, taken);
+    }
+
+    /** The same keys again until the outcome is known: a second copy of an entry may never stand beside the first. */
+    private void commit(Live g, StateClient.Txn txn, List<Entry> taken) {
+        state.commit(txn, r -> {
+            boolean applied = r.ok();
+            if (r.status() == 409) {
+                boolean refused = false;
+                for (JsonNode failed : r.body().path("failed")) {
+                    refused |= !failed.asText().startsWith(Keys.GRAPH_LOG);
+                }
+                applied = !refused; // an earlier try was carried out after all
+            }
+            if (applied) {
+                g.writing = false;
+                g.notBefore = runtime.now() + Constants.GRAPH_GAP_MS;
+                taken.forEach(e -> taken(g, e));
+                pump.run();
+            } else if (r.status() == 409 || r.status() == 400) {
+                // Another owner, or the graph is over: nothing more is recorded, and callers are told nothing good.
+                if (r.status() == 400) {
+                    LOG.error("record of a graph refused graph={}", g.id);
+                }
+                g.notBefore = Long.MAX_VALUE;
+                g.writing = false;
+            } else {
+                runtime.after(Constants.RENEW_RETRY_MS, () -> commit(g, txn, taken));
+            }
+        });
+    }
+
+    private void taken(Live g, Entry e) {
+        if (g.unwritten.peek() == e) {
+            g.unwritten.poll();
+            e.durable.run();
+        }
+    }
+
+    /** Nodes and results of graphs that ended long ago go, some at a time; so do those of graphs that ended in earlier terms. */
+    private void forget(long now) {
+        if (dropping || !state.spare()) {
+            return;
+        }
+        for (Map.Entry<String, Long> ended : endedAt.entrySet()) {
+            if (now - ended.getValue() > keepMs) {
+                List<String> keys = logOf(ended.getKey());
+                if (keys.isEmpty()) {
+                    graphs.remove(ended.getKey());
+                    endedAt.remove(ended.getKey());
+                    return;
+                }
+                StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, scheduler.baton);
+                keys.subList(Math.max(0, keys.size() - settings.txnOps()), keys.size()).forEach(txn::drop);
+                dropping = true;
+                state.commit(txn, r -> runtime.after(Constants.RENEW_RETRY_MS, () -> dropping = false));
+                return;
+            }
+        }
+    }
+
+    /** What earlier terms left of graphs that are over, when the term starts: it is kept as if they had ended now. */
+    void loadEnded() {
+        view.entries().forEach((key, e) -> {
+            if (key.startsWith(Keys.GRAPH_LOG)) {
+                String id = GraphRecords.graphOf(e.data());
+                View.Entry root = view.get(Keys.job(id));
+                if (root != null && Records.isOver(root.data())) {
+                    endedAt.putIfAbsent(id, runtime.now());
+                }
+            }
+        });
+    }
+
+    /** The record that a graph's end leaves; null if the job is no graph. */
+    ObjectNode endOf(Job job, String status) {
+        Live g = graphs.get(job.spec.id());
+        if (g == null || g.job != job) {
+            return null;
+        }
+        String why = !g.graph.sealed() ? "not sealed in time, or cancelled before" : g.graph.count(Graph.State.FAILED) > 0 ? "nodes failed"
+                : status.equals(Records.ABORTED) ? "cancelled" : "";
+        return GraphRecords.over(status, g.graph, why);
+    }
+}
--- a/src/main/java/org/hollypick/control/JobRecords.java
+++ b/src/main/java/org/hollypick/control/JobRecords.java
@@ -60,7 +60,7 @@
 
     private static Rank rank(JsonNode record) {
         try {
-            return JobCodec.rank(record.path("spec"));
+            return Records.rank(record);
         } catch (JobCodec.Invalid e) {
             return Rank.LOW;
         }
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -1,6 +1,7 @@
 package org.hollypick.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -22,11 +23,13 @@
 import org.hollypick.core.Leases;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
+import org.hollypick.core.graph.Graph;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Report;
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
+import org.hollypick.records.GraphRecords;
 import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerClient;
@@ -59,6 +62,8 @@
     private final Sizes sizes;
     private final Summary summary;
     public final Ends ends;
+    /** Null unless the operators switched them on. */
+    public final Graphs graphs;
 
     private boolean ended;
     private boolean pumping;
@@ -72,7 +77,7 @@
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
             CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, BooleanSupplier reachesState, Runnable fence,
-            Runnable resign, boolean nobodyBefore) {
+            Runnable resign, boolean nobodyBefore, Graphs.Maker maker) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
@@ -94,7 +99,8 @@
         this.cascade = new Cascade(runtime, view, state, settings, baton);
         this.sizes = new Sizes(view, settings, state, scheduler);
         this.summary = new Summary(scheduler, rentals);
-        this.ends = new Ends(runtime, scheduler, dependencies, state, this::followDependencies);
+        this.ends = new Ends(runtime, scheduler, dependencies, state, this::followDependencies, this::endOf, this::ended);
+        this.graphs = operator.graphs() ? new Graphs(runtime, settings, view, state, scheduler, ends, this::pump, maker == null ? Graph::new : maker, operator.graphKeepMs()) : null;
     }
 
     /** Starts from the records; the view holds every change up to the roster's own, and older owners can make none after it. */
@@ -109,7 +115,11 @@
         recordsChanged(keys);
         progress.load();
         sizes.load();
-        for (Job job : scheduler.jobs.values()) {
+        if (graphs != null) {
+            graphs.loadEnded();
+        }
+        for (Job job : new ArrayList<>(scheduler.jobs.values())) {
+            scheduler.restored(job);
             if (job.finished()) {
                 scheduler.progressDirty.add(job);
             }
@@ -176,6 +186,10 @@
             if (!Records.isOver(e.data())) {
                 if (dependencies.isCancelled(id)) {
                     cascade.add(id, e.stamp());
+                } else if (job == null && GraphRecords.isGraph(e.data())) {
+                    if (graphs != null) {
+                        graphs.appear(id, e.data(), e.stamp());
+                    }
                 } else if (job == null) {
                     try {
                         JobSpec spec = JobCodec.read(e.data().path("spec"));
@@ -211,6 +225,17 @@
         pump();
     }
 
+    private ObjectNode endOf(Job job, String status) {
+        ObjectNode graph = graphs == null ? null : graphs.endOf(job, status);
+        return graph != null ? graph : Records.over(status, job.done.cardinality());
+    }
+
+    private void ended(String id) {
+        if (graphs != null) {
+            graphs.over(id);
+        }
+    }
+
     private void register() {
         scheduler.toRegister.forEach(registry::add);
         scheduler.toRegister.clear();
@@ -290,6 +315,9 @@
             scheduler.freed.clear();
             freed.forEach(m -> scheduler.fill(m, now));
             workers.send();
+            if (graphs != null) {
+                graphs.flush();
+            }
             ends.closeFinished();
             register();
             progress.flush();
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -102,6 +102,11 @@
         }
     }
 
+    /** Finished, and all of its tasks were done. */
+    public boolean successful() {
+        return set == null || set.successful();
+    }
+
     void errored(int index) {
         if (set != null) {
             set.errored(index);
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -98,6 +98,11 @@
         return job;
     }
 
+    /** What the records say that is done of such a job was read. */
+    public void restored(Job job) {
+        job.committedMore();
+    }
+
     /** From now on that task of such a job waits. */
     public void release(Job job, int index) {
         if (job.wanted(index) && !job.live.containsKey(index)) {
--- a/src/main/java/org/hollypick/core/TaskSet.java
+++ b/src/main/java/org/hollypick/core/TaskSet.java
@@ -22,6 +22,9 @@
     /** It is durable that those tasks are done. */
     void committed(BitSet done);
 
+    /** Whether all tasks were done. */
+    boolean successful();
+
     /** The task failed once more. */
     void errored(int index);
 }
--- a/src/main/java/org/hollypick/io/HttpServer.java
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -21,7 +21,7 @@
 
     /** What answers a request; it may answer later, but always on the event loop. */
     public interface Service {
-        void handle(String method, String path, byte[] body, Consumer<Answer> answer);
+        void handle(String method, String target, byte[] body, Consumer<Answer> answer);
     }
 
     private HttpServer() {}
@@ -57,7 +57,9 @@
 
     private static void serve(Service service, HttpServerExchange x, byte[] body, boolean json) {
         try {
-            service.handle(x.getRequestMethod().toString(), x.getRequestPath(), body, a -> send(x, a, json));
+            String query = x.getQueryString();
+            String target = query.isEmpty() ? x.getRequestPath() : x.getRequestPath() + "?" + query;
+            service.handle(x.getRequestMethod().toString(), target, body, a -> send(x, a, json));
         } catch (RuntimeException e) {
             LOG.error("request failed path=" + x.getRequestPath(), e);
             send(x, Answer.later("internal"), json);
--- a/src/main/java/org/hollypick/records/JobCodec.java
+++ b/src/main/java/org/hollypick/records/JobCodec.java
@@ -98,7 +98,7 @@
     }
 
     public static ObjectNode write(JobSpec s) {
-        ObjectNode b = Codec.object().put("name_id", s.id()).put("jobkind", s.jobClass()).put("owner", s.team())
+        ObjectNode b = Codec.object().put("name_id", s.id()).put("jobkind", s.jobClass()).put("owner", s.team().isEmpty() ? null : s.team())
                 .put("shape", s.service() ? "standing" : "batch")
                 .put("rank", switch (s.rank()) {
                     case PRODUCTION -> "prod";
--- a/src/main/java/org/hollypick/records/Records.java
+++ b/src/main/java/org/hollypick/records/Records.java
@@ -102,6 +102,10 @@
         return record.path("status").asText();
     }
 
+    public static JobSpec.Rank rank(JsonNode record) throws JobCodec.Invalid {
+        return JobCodec.rank(GraphRecords.isGraph(record) ? GraphRecords.base(record) : record.path("spec"));
+    }
+
     public static boolean isService(JsonNode record) {
         return record.path("spec").path("shape").asText().equals("standing");
     }
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/GraphDaysTest.java
@@ -0,0 +1,171 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Dependencies;
+import org.hollypick.core.graph.Graph;
+import org.hollypick.core.graph.NodeSpec;
+import org.hollypick.core.graph.Refusal;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.junit.jupiter.api.Test;
+
+/** Graphs that grow, hand on and are cancelled, on days with faults; each rule of the jobs holds, and their own. */
+class GraphDaysTest {
+    private static final OperatorSettings ON = OperatorSettings.parse("{:graphs true}");
+    private static final BiFunction<Runtime, Settings, Node> NEW = (r, s) -> new Node(r, s, ON);
+
+    private static Day day(int seed, BiFunction<Runtime, Settings, Node> version, List<GraphUser> users, boolean cancels, Consumer<Day> troubles) {
+        Day day = new Day(seed, 1, null, new Day.Limits(2_048, 4, 25), version);
+        for (int i = 0; i < 5; i++) {
+            GraphUser u = new GraphUser(day, String.format("req-7%05d", i), 3, 3);
+            users.add(u);
+            day.world.at(3_000 + day.world.random.nextInt(50_000), u::start);
+            if (cancels && i == 1) {
+                day.world.at(30_000 + day.world.random.nextInt(60_000), u::withdraw);
+            } else if (cancels && i == 2) {
+                day.world.at(30_000 + day.world.random.nextInt(40_000), u::withdrawNode);
+            }
+        }
+        day.submitSome(8, 60_000);
+        troubles.accept(day);
+        day.play(330_000);
+        return day;
+    }
+
+    @Test
+    void graphsOfAQuietDayAreDone() {
+        for (int seed = 1; seed <= 20; seed++) {
+            List<GraphUser> users = new ArrayList<>();
+            Day day = day(seed, NEW, users, false, d -> { });
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+            for (GraphUser u : users) {
+                assertEquals("done", u.told, "seed " + seed + " " + u.id);
+            }
+        }
+    }
+
+    @Test
+    void growthCancellationsAndFaultsKeepTheRules() {
+        int over = 0;
+        int refused = 0;
+        for (int seed = 1; seed <= 150; seed++) {
+            List<GraphUser> users = new ArrayList<>();
+            Day day = day(seed, NEW, users, true, d -> d.drawFaults(6, 10_000, 120_000));
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+            assertEquals(0, day.state.tooLarge, "seed " + seed);
+            for (GraphUser u : users) {
+                over += u.told.equals("done") || u.told.equals("aborted") ? 1 : 0;
+                refused += u.refusedChildren;
+            }
+        }
+        assertTrue(over > 5 * 150 * 0.9, "over: " + over);
+        assertTrue(refused > 0, "late children of cancelled graphs were refused");
+    }
+
+    private static boolean breaks(String rule, BiFunction<Runtime, Settings, Node> version, Consumer<Day> troubles) {
+        for (int seed = 1; seed <= 40; seed++) {
+            if (day(seed, version, new ArrayList<>(), true, troubles).checker.broken.stream().anyMatch(b -> b.startsWith(rule))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Children that are told before they are durable are lost with the owner. */
+    @Test
+    void theCheckerNoticesChildrenThatAreToldTooEarly() {
+        assertTrue(breaks("", (r, s) -> new Node(new Runtime() {
+            @Override
+            public long now() {
+                return r.now();
+            }
+
+            @Override
+            public void after(long ms, Runnable task) {
+                r.after(ms, task);
+            }
+
+            @Override
+            public void call(Call c, Consumer<Reply> reply) {
+                if (c.path().equals("/commit") && c.body().path("then").toString().contains("h/x/")) {
+                    r.after(10, () -> reply.accept(new Reply(200, Codec.object().put("epoch", 1))));
+                    r.after(2_500, () -> r.call(c, x -> { }));
+                } else {
+                    r.call(c, reply);
+                }
+            }
+        }, s, ON), d -> {
+            for (int i = 0; i < 8; i++) {
+                d.world.at(15_000 + i * 11_000, () -> d.crash(d.leader(), 4_000));
+            }
+        }));
+    }
+
+    private static BiFunction<Runtime, Settings, Node> with(BiFunction<Integer, IntConsumer, Graph> maker) {
+        return (r, s) -> new Node(r, s, ON, new Dependencies(), (retries, release) -> maker.apply(retries, release));
+    }
+
+    /** If what needs a cancelled node isn't cancelled with it, it runs although its user was told otherwise. */
+    @Test
+    void theCheckerNoticesOrphansOfACancelledNode() {
+        assertTrue(breaks("ran_cancelled", with((retries, release) -> new Graph(retries, release) {
+            @Override
+            public int[] endAll(int[] roots, State as, String why) {
+                BitSet pretended = new BitSet();
+                for (int i : roots) {
+                    pretended.set(i); // what awaits it runs as if it were done
+                }
+                committed(pretended);
+                return new int[0];
+            }
+        }), d -> { }));
+    }
+
+    /** A parent that runs again submits its children again: if they aren't known again, each is run twice. */
+    @Test
+    void theCheckerNoticesChildrenThatRunTwice() {
+        assertTrue(breaks("doubled", with((retries, release) -> new Graph(retries, release) {
+            private int again;
+
+            @Override
+            public Refusal check(List<NodeSpec> batch, String parent, String next) {
+                Refusal r = super.check(batch, parent, next);
+                return r != null && r.status() == 409 ? null : r;
+            }
+
+            @Override
+            public List<NodeSpec> add(List<NodeSpec> batch, String parent, String next) {
+                if (parent != null && !batch.isEmpty() && find(batch.get(0).id()) >= 0) {
+                    again++;
+                    List<NodeSpec> renamed = batch.stream().map(n -> new NodeSpec(n.id() + "-again" + again, n.task(), List.of())).toList();
+                    return super.add(renamed, parent, null);
+                }
+                return super.add(batch, parent, next);
+            }
+
+            @Override
+            public int find(String id) {
+                return super.find(super.find(id + "-again" + again) >= 0 ? id + "-again" + again : id);
+            }
+        }), d -> {
+            for (int i = 0; i < 10; i++) {
+                d.world.at(12_000 + i * 9_000, () -> d.cloud.workers().stream().findFirst().ifPresent(d.cloud::take));
+            }
+        }));
+    }
+
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/GraphUser.java
@@ -0,0 +1,250 @@
+package org.hollypick.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+
+/**
+ * A client with a graph, and what its tasks do: each node's part is drawn from its name, so that an attempt that runs again does the same. It
+ * checks what it is told: no node starts before all that it awaits is done, none that was told to be cancelled starts, none is run under two names, and none that was
+ * accepted gets lost.
+ */
+final class GraphUser {
+    private final Day day;
+    final String id;
+    private final int depth;
+    private final int width;
+    /** By node: its task as the service named it, and what it awaits. */
+    private final Map<String, String> taskOf = new HashMap<>();
+    private final Map<String, String> nodeOf = new HashMap<>();
+    private final Map<String, List<String>> awaits = new LinkedHashMap<>();
+    private final Map<String, String> then = new HashMap<>();
+    private final Set<String> accepted = new HashSet<>();
+    private final Map<String, Long> cancelledAt = new HashMap<>();
+    private boolean sent;
+    private Long withdrawnAt;
+    String told = "";
+    int refusedChildren;
+
+    /** {@code depth}: how often nodes may add children below one another; {@code width}: how many each adds at most. */
+    GraphUser(Day day, String id, int depth, int width) {
+        this.day = day;
+        this.id = id;
+        this.depth = depth;
+        this.width = width;
+    }
+
+    private Random drawn(String node) {
+        return new Random(node.hashCode() * 31L + id.hashCode());
+    }
+
+    private ObjectNode node(String name, List<String> needs) {
+        awaits.put(name, needs);
+        Random r = drawn(name);
+        ObjectNode n = Codec.object().put("id", name).put("cores", 1.0 + r.nextInt(2)).put("expect_s", 2.0 + r.nextInt(4));
+        ArrayNode list = n.putArray("awaits");
+        needs.forEach(list::add);
+        return n;
+    }
+
+    private ObjectNode call(List<ObjectNode> nodes) {
+        ObjectNode b = Codec.object().put("name_id", id).put("jobkind", "graph").put("owner", "team").put("rank", "standard");
+        b.putObject("task").put("cores", 1.0).put("ram_gb", 2.0).put("bundle", "img-0").put("pull_gb", 1.0).put("lendable", true);
+        b.putArray("nodes").addAll(nodes);
+        return b;
+    }
+
+    void start() {
+        List<ObjectNode> first = new ArrayList<>();
+        List<String> names = new ArrayList<>();
+        Random r = drawn("");
+        for (int i = 0; i < 1 + r.nextInt(4); i++) {
+            List<String> needs = names.stream().filter(n -> r.nextInt(3) == 0).toList();
+            names.add("n" + i);
+            first.add(node("n" + i, needs));
+        }
+        ObjectNode b = call(first);
+        day.checker.submitting(id, b, day.world.now);
+        day.checker.program = this::running;
+        users.put(id, this);
+        post("/graphs", b, 0, r2 -> {
+            learn(b, r2);
+            sent = true;
+            poll();
+        });
+    }
+
+    private static final Map<String, GraphUser> users = new HashMap<>();
+
+    /** Tasks of several graphs run on one day. */
+    private void running(String task, long attempt, Runnable finish) {
+        users.get(task.substring(0, task.indexOf('/'))).run(task, attempt, finish);
+    }
+
+    /** Repeats a call until it is answered for certain. */
+    private void post(String path, ObjectNode body, int tries, Consumer<Reply> then) {
+        if (tries > 120) {
+            return;
+        }
+        day.world.send("user", new Call("p" + day.world.random.nextInt(3) + ":1", "POST", path, body, 5_000, false), r -> {
+            if (r.status() == 200 || r.status() == 201 || r.status() == 409 || r.status() == 422 || r.status() == 400 || r.status() == 404) {
+                then.accept(r);
+            } else {
+                day.world.at(1_000, () -> post(path, body, tries + 1, then));
+            }
+        });
+    }
+
+    /** Takes in which task each node is, as a user's upload of descriptions does; a node that got two names would run twice. */
+    private void learn(ObjectNode call, Reply r) {
+        if (!r.body().path("tasks").isObject()) {
+            if (r.status() != 409) {
+                day.checker.broken.add("graph refused " + id + ": " + r.status() + " " + r.body());
+            }
+            refusedChildren += r.status() == 409 ? 1 : 0;
+            return;
+        }
+        for (JsonNode n : call.path("nodes")) {
+            String name = n.path("id").asText();
+            String task = r.body().path("tasks").path(name).asText();
+            String before = taskOf.put(name, task);
+            if (before != null && !before.equals(task)) {
+                day.checker.broken.add("doubled " + id + " " + name + ": " + before + " and " + task);
+            }
+            nodeOf.put(task, name);
+            accepted.add(name);
+            ObjectNode description = call.path("task").deepCopy(); // what a worker fetches: the node's fields, and the call's for the rest
+            description.setAll((ObjectNode) n);
+            day.checker.nodes.put(task, description);
+        }
+    }
+
+    private void run(String task, long attempt, Runnable finish) {
+        String node = nodeOf.get(task);
+        for (String other : awaits.get(node)) {
+            if (!complete(other)) {
+                day.checker.broken.add("too_early " + id + " " + node + " before " + other);
+            }
+        }
+        if (cancelledAt.containsKey(node) && day.world.now > cancelledAt.get(node) + 35_000 || withdrawnAt != null && day.world.now > withdrawnAt + 35_000) {
+            day.checker.broken.add("ran_cancelled " + id + " " + node);
+        }
+        Random r = drawn(node + "/");
+        long ms = 1_000 + r.nextInt(4_000);
+        int level = node.length() - node.replace(".", "").length();
+        int children = level < depth ? r.nextInt(width + 1) : 0;
+        if (children == 0) {
+            day.world.at(ms, finish);
+            return;
+        }
+        List<ObjectNode> list = new ArrayList<>();
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < children; i++) {
+            String name = node + "." + i;
+            List<String> needs = new ArrayList<>(names.stream().filter(n -> r.nextInt(4) == 0).toList());
+            names.add(name);
+            list.add(node(name, needs));
+        }
+        boolean hands = r.nextBoolean();
+        if (hands) {
+            list.add(node(node + ".c", List.copyOf(names)));
+        }
+        ObjectNode b = call(list).put("parent", node).put("try", attempt);
+        if (hands) {
+            b.put("then", node + ".c");
+        }
+        long asked = day.world.now;
+        day.world.at(ms, () -> post("/graphs/" + id + "/nodes", b, 0, reply -> {
+            if (reply.status() == 201 && withdrawnAt != null && asked > withdrawnAt) {
+                day.checker.broken.add("orphan children of " + node + " accepted after the graph's cancellation");
+            }
+            if (hands && reply.body().path("tasks").isObject()) {
+                then.put(node, node + ".c");
+            }
+            learn(b, reply);
+            day.world.at(500, finish);
+        }));
+    }
+
+    /** Its own task has completed, and that of whatever it handed on to. */
+    private boolean complete(String node) {
+        String at = node;
+        while (at != null) {
+            if (!taskOf.containsKey(at) || !day.checker.isDone(taskOf.get(at))) {
+                return false;
+            }
+            at = then.get(at);
+        }
+        return true;
+    }
+
+    private void poll() {
+        long asked = day.world.now;
+        day.world.send("user", new Call("p" + day.world.random.nextInt(3) + ":1", "GET", "/submissions/" + id, null, 2_000, false), r -> {
+            if (r.status() == 200) {
+                told = r.body().path("status").asText();
+                day.checker.told(id, told, asked, day.world.now);
+                if (told.equals("done")) {
+                    for (String node : accepted) {
+                        if (!complete(node)) {
+                            day.checker.broken.add("lost " + id + " " + node + ": the graph is done without it");
+                        }
+                    }
+                }
+            }
+            if (!told.equals("done") && !told.equals("aborted")) {
+                day.world.at(2_000, this::poll);
+            }
+        });
+    }
+
+    void withdraw() {
+        if (!sent) {
+            day.world.at(500, this::withdraw);
+            return;
+        }
+        day.checker.withdrawing(id);
+        long asked = day.world.now;
+        post("/graphs/" + id + "/withdraw", Codec.object(), 0, r -> {
+            if (r.status() == 200) {
+                day.checker.told(id, r.body().path("status").asText(), asked, day.world.now);
+                if (r.body().path("status").asText().equals("aborted")) {
+                    withdrawnAt = day.world.now;
+                }
+            }
+        });
+    }
+
+    /** Cancels one of the nodes that the service knows. */
+    void withdrawNode() {
+        if (accepted.isEmpty()) {
+            return;
+        }
+        List<String> names = new ArrayList<>(accepted);
+        names.sort(null);
+        String node = names.get(day.world.random.nextInt(names.size()));
+        day.checker.withdrawing(id); // with a node cancelled the graph ends as not done
+        post("/graphs/" + id + "/nodes/" + node + "/withdraw", Codec.object(), 0, r -> {
+            if (r.body().path("state").asText().equals("cancelled")) {
+                cancelledAt.put(node, day.world.now);
+                awaits.forEach((other, needs) -> {
+                    if (needs.contains(node)) {
+                        cancelledAt.putIfAbsent(other, day.world.now);
+                    }
+                });
+            }
+        });
+    }
+}
