--- a/src/test/java/org/hollypick/sim/GraphDaysTest.java
+++ b/src/test/java/org/hollypick/sim/GraphDaysTest.java
@@ -122,7 +122,7 @@
     /** If what needs a cancelled node isn't cancelled with it, it runs although its user was told otherwise. */
     @Test
     void theCheckerNoticesOrphansOfACancelledNode() {
-        assertTrue(breaks("ran_cancelled", with((retries, release) -> new Graph(retries, release) {
+        assertTrue(breaks("too_early", with((retries, release) -> new Graph(retries, release) {
             @Override
             public int[] endAll(int[] roots, State as, String why) {
                 BitSet pretended = new BitSet();
