--- a/src/main/java/org/hollypick/control/Graphs.java
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -354,6 +354,9 @@
         int before = g.graph.count();
         boolean names = next != null && g.graph.then(g.graph.find(parent)) < 0;
         g.graph.add(nodes, parent, next);
+        if (!g.graph.wanted(g.graph.find(parent))) {
+            scheduler.withdraw(g.job, g.graph.find(parent)); // it handed on to what can't be done
+        }
         g.logNodes(parent, names ? next : null);
         tell(g, g.graph.count() > before || names ? 201 : 200, nodes, answer);
     }
--- a/src/main/java/org/hollypick/core/graph/Graph.java
+++ b/src/main/java/org/hollypick/core/graph/Graph.java
@@ -136,7 +136,7 @@
             if (node == target) {
                 return true;
             }
-            if (!seen.add(node) || ended(node)) {
+            if (!seen.add(node) || states[node] == State.DONE) {
                 continue;
             }
             for (int other : awaits[node]) {
@@ -233,6 +233,9 @@
         if (next != null && then[by] == NONE) {
             then[by] = index.getInt(next);
             origin[then[by]] = by;
+            if (states[then[by]] == State.FAILED || states[then[by]] == State.CANCELLED) {
+                endAll(new int[] {by}, State.CANCELLED, "its continuation " + next + " can't be done: " + reasons.getOrDefault(then[by], ""));
+            }
         }
         return added;
     }
--- /dev/null
+++ b/src/test/java/org/hollypick/graph/GraphQueueTest.java
@@ -0,0 +1,157 @@
+package org.hollypick.graph;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.Leases;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.graph.Graph;
+import org.hollypick.core.graph.NodeSpec;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.ledger.Placement.State;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.core.ledger.TaskReport;
+import org.junit.jupiter.api.Test;
+
+/** A graph of n independent, equal nodes can't be told from an array of n tasks: order, starts, sizes and use of the limit are the same. */
+class GraphQueueTest {
+    private static final MachineType TYPE = new MachineType("t", 8, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a", "b"));
+
+    /** One stretch of scheduling, everything in it drawn from a seed; what is decided is written down. */
+    private static final class Stretch {
+        private final Random random;
+        private final boolean asGraph;
+        private final Scheduler scheduler;
+        private final List<String> trace = new ArrayList<>();
+        private final List<Job> jobs = new ArrayList<>();
+        private long now = 1_000;
+        private long ticks;
+
+        Stretch(long seed, boolean asGraph) {
+            this.random = new Random(seed);
+            this.asGraph = asGraph;
+            Settings settings = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a", "b"),
+                    Map.of("team", new Settings.Team("team", 0, random.nextBoolean() ? 0 : 14, 0, 0)), List.of(), 3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+            this.scheduler = new Scheduler(5, settings, 0.3, new Leases(settings, List.of(), now, true));
+        }
+
+        private void arrive(int number) {
+            int tasks = 1 + random.nextInt(12);
+            boolean drawnAsGraph = random.nextInt(2) == 0;
+            JobSpec.Rank rank = JobSpec.Rank.values()[1 + random.nextInt(3)];
+            JobSpec one = new JobSpec("req-" + number, "c", "team", false, rank, 1, 1 + random.nextInt(3), 0, 1, null, random.nextInt(4) == 0 ? "a" : null,
+                    false, false, random.nextBoolean(), "img-" + random.nextInt(2), 1, 10, 0, 0, Double.NaN);
+            if (asGraph && drawnAsGraph) {
+                Job[] job = {null};
+                Graph g = new Graph(Integer.MAX_VALUE, i -> scheduler.release(job[0], i)); // an array's tasks are tried again for ever
+                job[0] = scheduler.addJob(one, g, number, 5);
+                List<NodeSpec> nodes = new ArrayList<>();
+                for (int i = 0; i < tasks; i++) {
+                    nodes.add(new NodeSpec("n" + i, one, List.of()));
+                }
+                g.add(nodes, null, null);
+                g.durable(tasks);
+                g.seal();
+                jobs.add(job[0]);
+            } else {
+                JobSpec all = new JobSpec(one.id(), one.jobClass(), one.team(), false, rank, tasks, one.cpus(), 0, 1, null, one.zone(), false, false, one.spot(),
+                        one.image(), 1, 10, 0, 0, Double.NaN);
+                jobs.add(scheduler.addJob(all, number, 5));
+            }
+        }
+
+        private void machine(int number) {
+            Machine m = scheduler.addMachine("m-" + number, TYPE, random.nextBoolean() ? "a" : "b", random.nextBoolean(), false, now);
+            m.registered = true;
+            report(m, List.of());
+        }
+
+        private void report(Machine m, List<TaskReport> tasks) {
+            scheduler.ledger.report(m, new Report(m.id, "w:1", "t", m.zone, m.spot, 1, ++ticks, 5, Double.NaN, tasks), true, now);
+        }
+
+        /** Every machine reports; tasks run, end, fail. */
+        private void reports() {
+            for (Machine m : List.copyOf(scheduler.machines.values())) {
+                List<TaskReport> tasks = new ArrayList<>();
+                for (Placement p : List.copyOf(m.placements.values())) {
+                    int what = random.nextInt(10);
+                    if (p.stop && p.there()) {
+                        tasks.add(new TaskReport(p.taskId, p.attempt, State.EXITED, "stopped"));
+                    } else if (p.state() == State.RUNNING && what < 4) {
+                        tasks.add(new TaskReport(p.taskId, p.attempt, State.EXITED, what == 0 ? "error" : "done"));
+                    } else if (p.there()) {
+                        tasks.add(new TaskReport(p.taskId, p.attempt, State.RUNNING, ""));
+                    }
+                }
+                report(m, tasks);
+            }
+            for (Job job : jobs) { // what is done becomes durable
+                job.committed = (BitSet) job.done.clone();
+                scheduler.ledger.progressCommitted(job);
+            }
+        }
+
+        List<String> play() {
+            for (int i = 0; i < 4; i++) {
+                machine(i);
+            }
+            for (int step = 0; step < 60; step++) {
+                now += 500 + random.nextInt(2_000);
+                if (random.nextInt(3) == 0) {
+                    arrive(step + 1);
+                }
+                if (random.nextInt(12) == 0) {
+                    machine(100 + step);
+                } else if (random.nextInt(20) == 0 && scheduler.machines.size() > 2) {
+                    scheduler.machineGone(scheduler.machines.keySet().iterator().next());
+                }
+                if (random.nextInt(25) == 0 && !jobs.isEmpty()) {
+                    Job job = jobs.get(random.nextInt(jobs.size()));
+                    scheduler.jobs.remove(job.spec.id());
+                    scheduler.abort(job, now);
+                }
+                scheduler.tick(now);
+                scheduler.pass(now);
+                for (Machine m : scheduler.machines.values()) {
+                    for (Placement p : m.placements.values()) {
+                        if (p.startedAt == now) {
+                            trace.add(step + " " + p.taskId + " on " + m.id + " attempt " + p.attempt);
+                        }
+                    }
+                    trace.add(step + " " + m.id + " uses " + m.usedCpus);
+                }
+                trace.add(step + " sizes " + new TreeMap<>(scheduler.sizes()));
+                reports();
+            }
+            return trace;
+        }
+    }
+
+    @Test
+    void aGraphOfEqualNodesIsScheduledAsTheArray() {
+        int starts = 0;
+        for (int seed = 1; seed <= 300; seed++) {
+            List<String> array = new Stretch(seed, false).play();
+            List<String> graph = new Stretch(seed, true).play();
+            for (int i = 0; i < array.size(); i++) {
+                assertEquals(array.get(i), graph.get(i), "seed " + seed + " at " + i);
+            }
+            assertEquals(array.size(), graph.size());
+            starts += (int) array.stream().filter(t -> t.contains(" on ")).count();
+        }
+        assertTrue(starts > 300 * 20, "the stretches did little: " + starts);
+    }
+}
--- a/src/test/java/org/hollypick/sim/Growth.java
+++ b/src/test/java/org/hollypick/sim/Growth.java
@@ -19,7 +19,7 @@
  * What grows with the fleet: processor time of the owner by activity, in the simulated world, without sockets or HTTP. Not a test; run by hand:
  * {@code mvn -q test-compile exec:java -Dexec.classpathScope=test -Dexec.mainClass=org.hollypick.sim.Growth -Dexec.args="540 1100 2500 5000"}.
  */
-final class Growth {
+public final class Growth {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
     private static final int MACHINES_A_SIZE = 14;
     private static final long WARM_MS = 90_000;
