--- /dev/null
+++ b/src/test/java/org/hollypick/sim/GraphSizeTest.java
@@ -0,0 +1,86 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Locale;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.junit.jupiter.api.Test;
+
+/** A graph as large as graphs may be: it fits the state service's limits, leases are renewed meanwhile, and a successor finds where it stands. */
+class GraphSizeTest {
+    private static final int NODES = 100_000;
+    private static final int A_CALL = 700;
+    private static final String ID = "req-000100";
+
+    @Test
+    void aHundredThousandNodesAreRecordedAndTakenOver() {
+        Day day = new Day(1, 4, null, null, (r, s) -> new Node(r, s, OperatorSettings.parse("{:graphs true}")));
+        day.play(5_000);
+        int before = day.leader();
+        long from = day.world.now;
+        int changes = day.state.changes;
+        for (int first = 0; first < NODES; first += A_CALL) {
+            submit(day, first, Math.min(NODES, first + A_CALL));
+        }
+        double seconds = (day.world.now - from) / 1000.0;
+        int written = day.state.changes - changes;
+        assertEquals(before, day.leader(), "the hold was renewed all along");
+        assertEquals(0, day.state.tooLarge);
+        int records = 0;
+        long bytes = 0;
+        for (String key : day.state.keys()) {
+            if (key.startsWith("h/x/")) {
+                records++;
+                bytes += day.state.data(key).toString().length();
+            }
+        }
+        assertTrue(written / seconds < 60, "changes a second: " + written / seconds);
+        day.play(60_000);
+        int started = day.checker.starts;
+        assertTrue(started > 100, "started " + started);
+        long cpu = System.nanoTime();
+        day.crash(day.leader(), 60_000);
+        long crashed = day.world.now;
+        while (day.checker.starts == started || day.leader() == before) {
+            day.play(50);
+            assertTrue(day.world.now - crashed < 60_000, "nothing started after the takeover");
+        }
+        System.out.printf(Locale.ROOT, "100,000 nodes: %.0f s to submit at 60 changes a second, %d records, %d bytes; first start %d ms after the owner's crash (hold %d ms), %.0f ms of real time%n",
+                seconds, records, bytes, day.world.now - crashed, 4_000, (System.nanoTime() - cpu) / 1e6);
+        assertEquals(List.of(), day.checker.broken);
+    }
+
+    private static void submit(Day day, int from, int to) {
+        ObjectNode call = Codec.object().put("name_id", ID).put("jobkind", "graph").put("owner", "team").put("rank", "standard").put("more", to < NODES);
+        ObjectNode task = call.putObject("task").put("cores", 1.0).put("ram_gb", 2.0).put("bundle", "img-0").put("pull_gb", 1.0).put("lendable", true).put("expect_s", 2.0);
+        for (int i = from; i < to; i++) {
+            ObjectNode n = call.withArray("nodes").addObject().put("id", "n" + i);
+            if (i % 50 != 0) { // two thousand chains of fifty
+                n.putArray("awaits").add("n" + (i - 1));
+            }
+        }
+        if (from == 0) {
+            day.checker.submitting(ID, call, day.world.now);
+            day.checker.program = (name, attempt, finish) -> day.world.at(1_000, finish);
+        }
+        Reply[] answer = {null};
+        while (answer[0] == null || answer[0].status() == 503 || answer[0].status() <= 0) {
+            answer[0] = null;
+            day.raw("POST", "/graphs", Codec.write(call, false), r -> answer[0] = r);
+            while (answer[0] == null) {
+                day.play(10);
+            }
+        }
+        assertTrue(answer[0].status() <= 202, answer[0].toString());
+        for (JsonNode n : call.path("nodes")) {
+            day.checker.nodes.put(answer[0].body().path("tasks").path(n.path("id").asText()).asText(), ((ObjectNode) task).deepCopy().put("shape", "batch"));
+        }
+    }
+}
--- a/src/test/java/org/hollypick/sim/StateStandIn.java
+++ b/src/test/java/org/hollypick/sim/StateStandIn.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -39,6 +40,8 @@
     private final RateBudget writes;
     /** Refusals for a value or a transaction that is too large: nodes should know better. */
     int tooLarge;
+    /** Puts and deletes that were carried out. */
+    int changes;
     /** Keys that lists leave out; a test breaks the service's promises with it. */
     Predicate<String> hidden = k -> false;
     /** Transactions that aren't executed: trouble that only some writes meet. */
@@ -60,6 +63,10 @@
     }
 
     /** Stored as if by a node, long ago. */
+    Set<String> keys() {
+        return keys.keySet();
+    }
+
     void store(String key, JsonNode data) {
         commit((JsonNode) Codec.object().set("then", Codec.array().add(Codec.object().put("put", key).set("data", data))));
     }
@@ -264,6 +271,7 @@
             return new Reply(409, r);
         }
         epoch++;
+        changes += body.path("then").size();
         for (JsonNode op : body.path("then")) {
             if (op.has("put")) {
                 keys.put(op.get("put").asText(), new Entry(op.get("data"), epoch, op.path("tenancy").asLong(0)));
