--- /dev/null
+++ b/src/test/java/org/hollypick/graph/GraphBench.java
@@ -0,0 +1,193 @@
+package org.hollypick.graph;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.Leases;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.graph.Graph;
+import org.hollypick.core.graph.NodeSpec;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.ledger.Placement.State;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.core.ledger.TaskReport;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * What a node costs beside a task of an array; not in CI, see CONTRIBUTING.md. Each figure is for all nodes together: divide by their number.
+ */
+@org.openjdk.jmh.annotations.State(Scope.Thread)
+@BenchmarkMode(Mode.SingleShotTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 6)
+@Measurement(iterations = 10)
+@Fork(1)
+public class GraphBench {
+    private static final MachineType TYPE = new MachineType("t", 1_000, 0, 100_000, 50, 1, 1, 0.4, 30, Set.of("a"));
+    private static final Settings SETTINGS = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a"), Map.of(), List.of(),
+            3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+
+    @Param({"1000", "10000", "100000"})
+    private int nodes;
+
+    private List<NodeSpec> chains;
+    private Graph grown;
+    private Scheduler arrayWorld;
+    private Scheduler graphWorld;
+    private Scheduler chainWorld;
+
+    private static JobSpec spec(int tasks) {
+        return new JobSpec("req-1", "c", "", false, JobSpec.Rank.NORMAL, tasks, 1, 0, 1, null, null, false, false, true, "img", 1, 10, 0, 0, Double.NaN);
+    }
+
+    /** {@code chain}: every so many nodes a new chain begins; 1: all are independent. */
+    private List<NodeSpec> specs(int chain) {
+        JobSpec one = spec(1);
+        List<NodeSpec> list = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            list.add(new NodeSpec("n" + i, one, i % chain == 0 ? List.of() : List.of("n" + (i - 1))));
+        }
+        return list;
+    }
+
+    @Setup(Level.Invocation)
+    public void prepare() {
+        chains = specs(50);
+        grown = new Graph(3, i -> { });
+        grown.add(chains, null, null);
+        grown.durable(nodes);
+        grown.seal();
+        arrayWorld = world();
+        arrayWorld.addJob(spec(nodes), 1, 5);
+        graphWorld = world();
+        graph(graphWorld, specs(1));
+        chainWorld = world();
+        graph(chainWorld, chains);
+    }
+
+    private static Scheduler world() {
+        Scheduler s = new Scheduler(5, SETTINGS, 0.3, new Leases(SETTINGS, List.of(), 0, true));
+        for (int i = 0; i < 4; i++) {
+            Machine m = s.addMachine("m-" + i, TYPE, "a", true, false, 0);
+            m.registered = true;
+            s.ledger.report(m, new Report(m.id, "w:1", "t", "a", true, 1, 1, 5, Double.NaN, List.of()), true, 0);
+        }
+        return s;
+    }
+
+    private static void graph(Scheduler s, List<NodeSpec> nodes) {
+        Job[] job = {null};
+        Graph g = new Graph(3, i -> s.release(job[0], i));
+        job[0] = s.addJob(spec(1), g, 1, 5);
+        g.add(nodes, null, null);
+        g.durable(nodes.size());
+        g.seal();
+    }
+
+    /** Checked and taken in. */
+    @Benchmark
+    public int admit() {
+        Graph g = new Graph(3, i -> { });
+        g.check(chains, null, null);
+        g.add(chains, null, null);
+        g.durable(nodes);
+        g.seal();
+        return g.count();
+    }
+
+    /** All done, one level after the other: each releases the next. */
+    @Benchmark
+    public int release() {
+        BitSet done = new BitSet(nodes);
+        for (int level = 0; level < 50; level++) {
+            for (int i = level; i < nodes; i += 50) {
+                done.set(i);
+            }
+            grown.committed(done);
+        }
+        return grown.count(Graph.State.DONE);
+    }
+
+    /** Placed, run, reported and recorded: every task of an array. */
+    @Benchmark
+    public int arrayTasks() {
+        return run(arrayWorld);
+    }
+
+    /** The same for as many independent nodes. */
+    @Benchmark
+    public int independentNodes() {
+        return run(graphWorld);
+    }
+
+    /** The same for nodes in chains of fifty. */
+    @Benchmark
+    public int chainedNodes() {
+        return run(chainWorld);
+    }
+
+    private static int run(Scheduler s) {
+        Job job = s.jobs.values().iterator().next();
+        long now = 1_000;
+        long tick = 1;
+        int passes = 0;
+        while (!job.finished()) {
+            now += 1_000;
+            passes++;
+            s.pass(now);
+            for (Machine m : s.machines.values()) {
+                for (State state : List.of(State.RUNNING, State.EXITED)) {
+                    List<TaskReport> tasks = new ArrayList<>();
+                    for (Placement p : m.placements.values()) {
+                        tasks.add(new TaskReport(p.taskId, p.attempt, state, "done"));
+                    }
+                    s.ledger.report(m, new Report(m.id, "w:1", "t", "a", true, 1, ++tick, 5, Double.NaN, tasks), true, now);
+                }
+                s.ledger.report(m, new Report(m.id, "w:1", "t", "a", true, 1, ++tick, 5, Double.NaN, List.of()), true, now);
+            }
+            job.committed = (BitSet) job.done.clone();
+            s.ledger.progressCommitted(job);
+        }
+        return passes;
+    }
+
+    /** Heap a node takes. */
+    public static void main(String[] args) {
+        for (int n : new int[] {1_000, 10_000, 100_000}) {
+            GraphBench b = new GraphBench();
+            b.nodes = n;
+            List<NodeSpec> specs = b.specs(50);
+            System.gc();
+            long before = used();
+            Graph g = new Graph(3, i -> { });
+            g.add(specs, null, null);
+            g.durable(n);
+            g.seal();
+            System.gc();
+            System.out.println(n + " nodes: " + (used() - before) / n + " bytes a node, without their ids; " + g.count());
+        }
+    }
+
+    private static long used() {
+        Runtime vm = Runtime.getRuntime();
+        return vm.totalMemory() - vm.freeMemory();
+    }
+}
