--- /dev/null
+++ b/src/main/java/org/hollypick/control/GraphLog.java
@@ -0,0 +1,145 @@
+package org.hollypick.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.hollypick.cluster.Keys;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Runtime;
+import org.hollypick.records.GraphRecords;
+import org.hollypick.records.Records;
+import org.hollypick.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One graph's log: entries in their order, as many to a record and records to a transaction as fit, one transaction at a time. Each is conditional on the
+ * baton and on the graph's own record, under keys that were never used; while its outcome isn't known the very same one is sent again.
+ */
+final class GraphLog {
+    private static final Logger LOG = LoggerFactory.getLogger(GraphLog.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final StateClient state;
+    private final String id;
+    private final long baton;
+    private final LongSupplier numbers;
+    private final int room;
+    private final ArrayDeque<Entry> unwritten = new ArrayDeque<>();
+    private boolean writing;
+    private long notBefore;
+
+    /** Something to be recorded, and who wants to know when it is; without {@code op} only that all before it is. */
+    private record Entry(ObjectNode op, int bytes, Runnable durable) {}
+
+    /** {@code numbers}: each number once in this term. */
+    GraphLog(Runtime runtime, Settings settings, StateClient state, String id, long baton, LongSupplier numbers) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.state = state;
+        this.id = id;
+        this.baton = baton;
+        this.numbers = numbers;
+        this.room = Records.room(settings);
+    }
+
+    void add(ObjectNode op, Runnable durable) {
+        unwritten.add(new Entry(op, packed(op), durable));
+    }
+
+    /** Runs once all that was added so far is durable. */
+    void then(Runnable durable) {
+        if (unwritten.isEmpty()) {
+            durable.run();
+        } else {
+            unwritten.add(new Entry(null, 0, durable));
+        }
+    }
+
+    boolean isEmpty() {
+        return unwritten.isEmpty();
+    }
+
+    /** Whether an entry fits a record by itself. */
+    boolean fits(ObjectNode op) {
+        return packed(op) <= room;
+    }
+
+    private int packed(ObjectNode op) {
+        return Records.bytes(GraphRecords.record(id, List.of(op)));
+    }
+
+    /** Writes what there is, unless a write is under way; {@code order}: the stamp of the graph's own record; {@code written} hears of each success. */
+    void flush(long order, Runnable written) {
+        if (writing || unwritten.isEmpty() || runtime.now() < notBefore || state.crowded()) {
+            return;
+        }
+        int most = Math.min(settings.txnOps(), Constants.BODY_BYTES * 3 / 4 / settings.valueBytes());
+        List<Entry> taken = new ArrayList<>();
+        List<List<ObjectNode>> records = new ArrayList<>();
+        int left = 0;
+        for (Entry e : unwritten) {
+            if (e.op != null) {
+                if (left < e.bytes) {
+                    if (records.size() == most) {
+                        break;
+                    }
+                    records.add(new ArrayList<>());
+                    left = room;
+                }
+                records.get(records.size() - 1).add(e.op);
+                left -= e.bytes;
+            }
+            taken.add(e);
+        }
+        if (records.isEmpty()) { // who only wanted to know was added while the last entry was being written
+            taken.forEach(e -> unwritten.poll().durable.run());
+            return;
+        }
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), order);
+        for (List<ObjectNode> ops : records) {
+            String key = Keys.graphLog(id, baton, numbers.getAsLong());
+            txn.when(key, 0).put(key, GraphRecords.record(id, ops));
+        }
+        writing = true;
+        commit(txn, taken, written);
+    }
+
+    /** The same keys again until the outcome is known: a second copy of an entry may never stand beside the first. */
+    private void commit(StateClient.Txn txn, List<Entry> taken, Runnable written) {
+        state.commit(txn, r -> {
+            if (r.ok() || r.status() == 409 && onlyOwnKeys(r.body())) { // an earlier try was carried out after all
+                writing = false;
+                notBefore = runtime.now() + Constants.GRAPH_GAP_MS;
+                for (Entry e : taken) {
+                    unwritten.poll();
+                    e.durable.run();
+                }
+                written.run();
+            } else if (r.status() == 409 || r.status() == 400) {
+                // Another owner, or the graph is over: nothing more is recorded, and callers hear nothing good.
+                if (r.status() == 400) {
+                    LOG.error("record of a graph refused graph={}", id);
+                }
+                notBefore = Long.MAX_VALUE;
+                writing = false;
+            } else {
+                runtime.after(Constants.RENEW_RETRY_MS, () -> commit(txn, taken, written));
+            }
+        });
+    }
+
+    private static boolean onlyOwnKeys(JsonNode body) {
+        for (JsonNode failed : body.path("failed")) {
+            if (!failed.asText().startsWith(Keys.GRAPH_LOG)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/src/main/java/org/hollypick/control/Graphs.java
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.ints.IntArrayList;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -34,8 +33,7 @@
 
 /**
  * Task graphs in one term. What a call changes is taken in at once, and blocks what it has to block; what it allows, and the answer, wait until it is
- * durable. Each graph has a log of records, written one transaction after the other under keys that were never used, conditional on the baton
- * and on the graph's own record: after its end nothing can be added.
+ * durable. Each graph has a log ({@link GraphLog}).
  */
 public final class Graphs {
     private static final Logger LOG = LoggerFactory.getLogger(Graphs.class);
@@ -56,9 +54,6 @@
         Graph make(int retries, IntConsumer release);
     }
 
-    /** Something to be recorded, and who wants to know when it is. */
-    private record Entry(ObjectNode op, int bytes, Runnable durable) {}
-
     /** One graph that this term knows. */
     public final class Live implements GraphRecords.Reader {
         private final String id;
@@ -66,21 +61,20 @@
         private final Graph graph;
         private final Map<Integer, JsonNode> results = new HashMap<>();
         private int resultBytes;
-        private final ArrayDeque<Entry> unwritten = new ArrayDeque<>();
+        private final GraphLog log;
         private final IntArrayList releasedEarly = new IntArrayList();
         private final long since = runtime.now();
         private Job job;
         private int loggedNodes;
         private int loggedSpecs;
-        private boolean writing;
         private boolean sealing;
-        private long notBefore;
         private long overAt;
 
         Live(String id, GraphRecords.Head head) {
             this.id = id;
             this.head = head;
             this.graph = maker.make(head.retries(), this::released);
+            this.log = new GraphLog(runtime, settings, state, id, scheduler.baton, () -> written++);
         }
 
         private void released(int node) {
@@ -123,17 +117,17 @@
         private void logNodes(String parent, String next) {
             int to = graph.count();
             if (loggedNodes == to && next != null) {
-                log(GraphRecords.nodes(graph, to, to, loggedSpecs, parent, next), () -> { });
+                log.add(GraphRecords.nodes(graph, to, to, loggedSpecs, parent, next), () -> { });
             }
             while (loggedNodes < to) {
                 int end = Math.min(to, loggedNodes + Constants.GRAPH_NODES_AN_ENTRY);
                 ObjectNode op = entry(loggedNodes, end, parent, next);
-                while (end - loggedNodes > 1 && packed(op) > room) {
+                while (end - loggedNodes > 1 && !log.fits(op)) {
                     end = loggedNodes + (end - loggedNodes) / 2;
                     op = entry(loggedNodes, end, parent, next);
                 }
                 int durable = end;
-                log(op, () -> graph.durable(durable));
+                log.add(op, () -> graph.durable(durable));
                 for (int i = loggedNodes; i < end; i++) {
                     loggedSpecs = Math.max(loggedSpecs, graph.specNumber(i) + 1);
                 }
@@ -147,21 +141,13 @@
             return GraphRecords.nodes(graph, from, to, loggedSpecs, parent, last ? next : null);
         }
 
-        private void log(ObjectNode op, Runnable durable) {
-            unwritten.add(new Entry(op, packed(op), durable));
-        }
-
         /** Ends nodes in memory at once, so that they don't start; whoever asked hears when that is durable. */
         private void end(int node, Graph.State as, String why, Runnable durable) {
             Graph.Ended ended = graph.end(node, as, why);
             for (int i : ended.all()) {
                 scheduler.withdraw(job, i);
             }
-            log(GraphRecords.ended(ended.roots(), as, why), durable);
-        }
-
-        private int packed(ObjectNode op) {
-            return Records.bytes(GraphRecords.record(id, List.of(op)));
+            log.add(GraphRecords.ended(ended.roots(), as, why), durable);
         }
     }
 
@@ -332,7 +318,7 @@
         boolean seals = last && !g.sealing;
         if (seals) {
             g.sealing = true;
-            g.log(GraphRecords.sealed(), g.graph::seal);
+            g.log.add(GraphRecords.sealed(), g.graph::seal);
         }
         tell(g, news || seals ? last ? 201 : 202 : 200, nodes, answer);
     }
@@ -419,7 +405,7 @@
         }
         if (known == null) {
             g.result(i, result);
-            g.log(GraphRecords.result(i, result), () -> { });
+            g.log.add(GraphRecords.result(i, result), () -> { });
         }
         tell(g, known == null ? 201 : 200, List.of(), answer);
     }
@@ -456,11 +442,10 @@
                 answer.accept(new Outcome(status, body));
             }
         };
-        if (g.unwritten.isEmpty()) {
-            done.run();
+        g.log.then(done);
+        if (told[0]) {
             return;
         }
-        g.unwritten.add(new Entry(null, 0, done));
         runtime.after(Constants.GRAPH_TELL_MS, () -> {
             if (!told[0]) {
                 told[0] = true;
@@ -491,85 +476,14 @@
                 LOG.info("graph not sealed in time graph={} baton={}", g.id, scheduler.baton);
                 ends.abort(g.job, done -> g.sealing = done);
             }
-            if (g.job.finished() && g.unwritten.isEmpty()) {
+            if (g.job.finished() && g.log.isEmpty()) {
                 scheduler.progressDirty.add(g.job);
             }
-            write(g);
+            g.log.flush(g.job.order, pump);
         }
         forget(now);
     }
 
-    private void write(Live g) {
-        if (g.writing || g.unwritten.isEmpty() || runtime.now() < g.notBefore || state.crowded()) {
-            return;
-        }
-        int most = Math.min(settings.txnOps(), Constants.BODY_BYTES * 3 / 4 / settings.valueBytes());
-        List<Entry> taken = new ArrayList<>();
-        List<List<ObjectNode>> records = new ArrayList<>();
-        int left = 0;
-        for (Entry e : g.unwritten) {
-            if (e.op != null) {
-                if (left < e.bytes) {
-                    if (records.size() == most) {
-                        break;
-                    }
-                    records.add(new ArrayList<>());
-                    left = room;
-                }
-                records.get(records.size() - 1).add(e.op);
-                left -= e.bytes;
-            }
-            taken.add(e);
-        }
-        if (records.isEmpty()) {
-            taken.forEach(e -> taken(g, e));
-            return;
-        }
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, scheduler.baton).when(Keys.job(g.id), g.job.order);
-        for (List<ObjectNode> ops : records) {
-            String key = Keys.graphLog(g.id, scheduler.baton, written++);
-            txn.when(key, 0).put(key, GraphRecords.record(g.id, ops));
-        }
-        g.writing = true;
-        commit(g, txn, taken);
-    }
-
-    /** The same keys again until the outcome is known: a second copy of an entry may never stand beside the first. */
-    private void commit(Live g, StateClient.Txn txn, List<Entry> taken) {
-        state.commit(txn, r -> {
-            boolean applied = r.ok();
-            if (r.status() == 409) {
-                boolean refused = false;
-                for (JsonNode failed : r.body().path("failed")) {
-                    refused |= !failed.asText().startsWith(Keys.GRAPH_LOG);
-                }
-                applied = !refused; // an earlier try was carried out after all
-            }
-            if (applied) {
-                g.writing = false;
-                g.notBefore = runtime.now() + Constants.GRAPH_GAP_MS;
-                taken.forEach(e -> taken(g, e));
-                pump.run();
-            } else if (r.status() == 409 || r.status() == 400) {
-                // Another owner, or the graph is over: nothing more is recorded, and callers are told nothing good.
-                if (r.status() == 400) {
-                    LOG.error("record of a graph refused graph={}", g.id);
-                }
-                g.notBefore = Long.MAX_VALUE;
-                g.writing = false;
-            } else {
-                runtime.after(Constants.RENEW_RETRY_MS, () -> commit(g, txn, taken));
-            }
-        });
-    }
-
-    private void taken(Live g, Entry e) {
-        if (g.unwritten.peek() == e) {
-            g.unwritten.poll();
-            e.durable.run();
-        }
-    }
-
     /** Nodes and results of graphs that ended long ago go, some at a time; so do those of graphs that ended in earlier terms. */
     private void forget(long now) {
         if (dropping || !state.spare()) {
--- a/src/test/java/org/hollypick/sim/GraphDaysTest.java
+++ b/src/test/java/org/hollypick/sim/GraphDaysTest.java
@@ -88,7 +88,7 @@
     /** Children that are told before they are durable are lost with the owner. */
     @Test
     void theCheckerNoticesChildrenThatAreToldTooEarly() {
-        assertTrue(breaks("", (r, s) -> new Node(new Runtime() {
+        assertTrue(breaks("too_early", (r, s) -> new Node(new Runtime() {
             @Override
             public long now() {
                 return r.now();
@@ -119,10 +119,10 @@
         return (r, s) -> new Node(r, s, ON, new Dependencies(), (retries, release) -> maker.apply(retries, release));
     }
 
-    /** If what needs a cancelled node isn't cancelled with it, it runs although its user was told otherwise. */
+    /** If a cancelled node counts as done, what needs it runs for nothing, and the graph is called done without it. */
     @Test
-    void theCheckerNoticesOrphansOfACancelledNode() {
-        assertTrue(breaks("too_early", with((retries, release) -> new Graph(retries, release) {
+    void theCheckerNoticesACancelledNodeThatCountsAsDone() {
+        assertTrue(breaks("lost", with((retries, release) -> new Graph(retries, release) {
             @Override
             public int[] endAll(int[] roots, State as, String why) {
                 BitSet pretended = new BitSet();
--- a/src/test/java/org/hollypick/sim/LoopbackTest.java
+++ b/src/test/java/org/hollypick/sim/LoopbackTest.java
@@ -15,8 +15,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executors;
@@ -50,6 +52,8 @@
     private HollypickClient client;
     private volatile boolean over;
     private Work work;
+    /** Nodes whose tasks fail on every machine. */
+    private final Set<String> failing = new HashSet<>();
 
     @BeforeEach
     void open() throws IOException {
@@ -135,7 +139,7 @@
                     String task = answer[0].body().path("tasks").path(n.path("id").asText()).asText();
                     if (!task.isEmpty()) {
                         nodeOf.put(task, n.path("id").asText());
-                        day.checker.nodes.put(task, ((ObjectNode) n.deepCopy()).put("shape", "batch"));
+                        day.checker.nodes.put(task, ((ObjectNode) n.deepCopy()).put("shape", "batch").put("fails", failing.contains(n.path("id").asText())));
                     }
                 });
             }
@@ -218,6 +222,29 @@
         assertTrue(shown.path("nodes").toString().contains("needs slow"), shown.toString());
     }
 
+    /** A node that fails on every machine is tried again with growing waits, then takes along what needs it, or the whole graph if its client wants so. */
+    @Test
+    void aNodeThatAlwaysFailsTakesAlongWhatItsClientSays() {
+        failing.add("bad");
+        work = (node, self) -> CompletableFuture.completedFuture(null);
+        GraphSpec goesOn = new GraphSpec("req-000940", "harness").team("team").defaults(TASK).retries(2).node("bad", TASK).node("behind", TASK, "bad").node("apart", TASK)
+                .node("later", TASK, "apart");
+        HollypickClient.Status end = client.submit(goesOn).join().over().join();
+        assertEquals("aborted nodes failed", end.status() + " " + end.why());
+        assertEquals(2, end.counts().path("done").asInt(), "apart and later went on");
+        assertEquals(1, end.counts().path("failed").asInt());
+        assertEquals(1, end.counts().path("cancelled").asInt());
+        synchronized (day) {
+            assertEquals(3, day.checker.startsOf.get("req-000940/0"), "once, and twice more");
+        }
+        HollypickException never = failure(client.graph("req-000940").result("behind", String.class));
+        assertTrue(never.status() == 409 && never.getMessage().contains("needs bad: failed 3 times"), never.getMessage());
+        GraphSpec ends = new GraphSpec("req-000941", "harness").team("team").defaults(TASK).retries(0).endOnFailure().node("bad", TASK).node("apart", new Task().expectSeconds(1))
+                .node("later", TASK, "apart", "bad");
+        HollypickClient.Status over = client.submit(ends).join().over().join();
+        assertEquals("aborted", over.status());
+    }
+
     @Test
     void whatIsWrongIsRefusedAndNothingIsStored() throws Exception {
         HollypickException cyclic = failure(client.submit(new GraphSpec("req-000930", "x").defaults(TASK).node("a", TASK, "b").node("b", TASK, "a")));
