--- a/src/main/java/org/hollypick/api/GraphApi.java
+++ b/src/main/java/org/hollypick/api/GraphApi.java
@@ -181,6 +181,11 @@
             return;
         }
         jobs.status(id, a -> {
+            View.Entry e = view.get(Keys.job(id));
+            if (a.status() == 200 && e != null && !GraphRecords.isGraph(e.data()) && !e.data().path("ended_graph").asBoolean()) {
+                answer.accept(Answer.error(404, "no graph, but a job"));
+                return;
+            }
             Graphs.Live live = term.get() != null && term.get().acting() ? term.get().graphs.find(id) : null;
             if (a.status() != 200) {
                 answer.accept(a);
--- a/src/main/java/org/hollypick/client/HollypickClient.java
+++ b/src/main/java/org/hollypick/client/HollypickClient.java
@@ -227,7 +227,8 @@
         long backoff = Math.min(8_000, 250L << Math.min(tries, 5));
         long wait = Math.max(Math.min(afterS, 30) * 1_000, backoff / 2 + ThreadLocalRandom.current().nextLong(backoff / 2 + 1));
         if (until != Long.MAX_VALUE && System.nanoTime() + wait * 1_000_000 - until > 0) {
-            return CompletableFuture.failedFuture(new HollypickException.Unavailable(status, why == null ? "no answer" : why));
+            return CompletableFuture.failedFuture(new HollypickException.Unavailable(status,
+                    "no controller of " + addresses + " took the call within its time; the last word: " + why));
         }
         return after(Duration.ofMillis(wait), () -> attempt(method, path, body, until, tries + 1));
     }
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -75,6 +75,8 @@
     public static final int GRAPH_RESULT_BYTES = 4 * 1024;
     /** Bytes of all results of one graph at most: every controller holds them, packed. */
     public static final int GRAPH_RESULTS_BYTES = 4 * 1024 * 1024;
+    /** Entries of one graph that wait to be written, beyond which its calls are refused for now: some seconds' worth. */
+    public static final int GRAPH_BACKLOG = 2_000;
     /** Milliseconds between two writes of one graph: calls that come close together share one. */
     public static final long GRAPH_GAP_MS = 100;
     /** Milliseconds until a call that isn't durable yet is given up: its user waits 5 s. */
--- a/src/main/java/org/hollypick/control/GraphLog.java
+++ b/src/main/java/org/hollypick/control/GraphLog.java
@@ -61,6 +61,10 @@
         }
     }
 
+    int size() {
+        return unwritten.size();
+    }
+
     boolean isEmpty() {
         return unwritten.isEmpty();
     }
--- a/src/main/java/org/hollypick/control/Graphs.java
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -265,6 +265,9 @@
      */
     public void submit(String id, GraphRecords.Head head, List<NodeSpec> nodes, boolean last, Consumer<Outcome> answer) {
         Live g = graphs.get(id);
+        if (crowded(g, answer)) {
+            return;
+        }
         if (g != null) {
             part(g, nodes, last, answer);
             return;
@@ -347,6 +350,15 @@
         tell(g, g.graph.count() > before || names ? 201 : 200, nodes, answer);
     }
 
+    /** What can't be recorded soon is refused at once, before anything of it is taken in. */
+    private boolean crowded(Live g, Consumer<Outcome> answer) {
+        boolean crowded = state.crowded() || g != null && g.log.size() > Constants.GRAPH_BACKLOG;
+        if (crowded) {
+            answer.accept(Outcome.refused(503, "busy"));
+        }
+        return crowded;
+    }
+
     /** A node's entry has to fit a record, whatever it awaits. */
     private Refusal check(Live g, List<NodeSpec> nodes, String parent, String next) {
         int most = room / Constants.GRAPH_AWAIT_BYTES;
@@ -361,6 +373,9 @@
     /** The graph, if that attempt of the node runs, as far as is known; else the refusal is told. */
     private Live running(String id, String node, long attempt, Consumer<Outcome> answer) {
         Live g = graphs.get(id);
+        if (crowded(g, answer)) {
+            return null;
+        }
         if (g == null || g.over() || g.job == null) {
             answer.accept(g != null && g.job == null && !g.over() ? Outcome.refused(503, "its first call is being recorded")
                     : g == null ? Outcome.refused(404, "no such graph") : Outcome.refused(409, "the graph is over"));
--- a/src/test/java/org/hollypick/sim/LoopbackTest.java
+++ b/src/test/java/org/hollypick/sim/LoopbackTest.java
@@ -163,6 +163,7 @@
                     .put("shards", 3).put("cores", 8.0).put("gpus", 0.0).put("ram_gb", 2.0).put("together", false).put("spread", false).put("lendable", false)
                     .put("bundle", "img-1").put("pull_gb", 1.0).put("expect_s", 0.0).put("bookmark_s", 0.0).put("stow_s", 0.0);
             day.ask("POST", "/submissions", filler);
+            assertEquals(404, day.ask("GET", "/graphs/req-000900", null).status(), "a job is no graph");
             day.play(40_000);
         }
         Task large = new Task().cores(8).memoryGb(2).image("img-0", 1).expectSeconds(1).spot(true);
