An owner that is cut off keeps leases only if every successor reckons with them

Cause: found by reading again: an owner of this version, cut off with its zone during a roll, kept leases that a successor of the version in production takes for ended; its own keeping didn't need what a grant to others needs. Change: the same condition, all others have asked in this term.

--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -77,7 +77,8 @@
         this.jobs = new JobRecords(runtime, settings, state, view, membership, dependencies);
         this.users = new UserApi(runtime, settings, view, membership, jobs, dependencies, () -> term, () -> types.isEmpty() ? null : types);
         this.graphs = operator.graphs() ? new GraphApi(runtime, settings, view, membership, users, () -> term, () -> types.isEmpty() ? null : types) : null;
-        this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled, this::kept);
+        this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled,
+                () -> term != null && term.scheduler.leases.allAsked(), this::kept);
     }
 
     public void start() {
--- a/src/main/java/org/hollypick/api/GraphApi.java
+++ b/src/main/java/org/hollypick/api/GraphApi.java
@@ -57,7 +57,7 @@
             owned(method, path, body, answer);
             return;
         }
-        String owner = owner();
+        String owner = settings.meshAddr(membership.leader());
         if (owner == null) {
             answer.accept(Answer.later("no owner"));
             return;
@@ -83,16 +83,6 @@
                 a -> answer.accept(Answer.of(200, Codec.object().put("status", a.status()).set("body", a.body()))));
     }
 
-    private String owner() {
-        String leader = membership.leader();
-        for (Settings.Sibling s : settings.siblings()) {
-            if (s.node().equals(leader)) {
-                return s.addr();
-            }
-        }
-        return null;
-    }
-
     private void owned(String method, String path, JsonNode body, Consumer<Answer> answer) {
         String[] query = path.split("\\?", 2);
         List<String> parts = List.of(query[0].split("/"));
--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -231,16 +231,7 @@
 
     private String ownerToAsk() {
         Term t = term.get();
-        String leader = membership.leader();
-        if (leader == null || t != null && t.acting() || runtime.now() < ownerSilentUntil) {
-            return null;
-        }
-        for (Settings.Sibling s : settings.siblings()) {
-            if (s.node().equals(leader)) {
-                return s.addr();
-            }
-        }
-        return null;
+        return t != null && t.acting() || runtime.now() < ownerSilentUntil ? null : settings.meshAddr(membership.leader());
     }
 
     /** From this node's own copy of the records, once that is known to be fresh. */
--- a/src/main/java/org/hollypick/cluster/Keeper.java
+++ b/src/main/java/org/hollypick/cluster/Keeper.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 import org.hollypick.config.Constants;
@@ -34,6 +35,7 @@
     private final View view;
     private final Membership membership;
     private final Predicate<String> cancelled;
+    private final BooleanSupplier othersCount;
     private final LongConsumer keptByOwner;
     private final long windowMs;
 
@@ -47,13 +49,16 @@
     private long told;
     private boolean announced;
 
-    /** {@code cancelled}: jobs whose tasks are to end; {@code keptByOwner}: hears of leases that an owner renewed without being entitled. */
-    public Keeper(Runtime runtime, Settings settings, View view, Membership membership, Predicate<String> cancelled, LongConsumer keptByOwner) {
+    /** {@code cancelled}: jobs whose tasks are to end; {@code othersCount}: whether every other controller, as this owner's successor,
+     * would reckon with leases that it keeps; {@code keptByOwner}: hears of leases that an owner renewed without being entitled. */
+    public Keeper(Runtime runtime, Settings settings, View view, Membership membership, Predicate<String> cancelled,
+            BooleanSupplier othersCount, LongConsumer keptByOwner) {
         this.runtime = runtime;
         this.settings = settings;
         this.view = view;
         this.membership = membership;
         this.cancelled = cancelled;
+        this.othersCount = othersCount;
         this.keptByOwner = keptByOwner;
         this.windowMs = Leases.windowMs(settings);
         this.contactAt = runtime.now();
@@ -67,7 +72,7 @@
 
     private void ask() {
         long baton = membership.rosterStamp();
-        String owner = owner();
+        String owner = settings.meshAddr(membership.leader());
         if (owner != null && view.loaded()) {
             long sent = runtime.now();
             long telling = kept;
@@ -91,21 +96,12 @@
         }
     }
 
-    private String owner() {
-        String leader = membership.leader();
-        for (Settings.Sibling s : settings.siblings()) {
-            if (s.node().equals(leader)) {
-                return s.addr();
-            }
-        }
-        return null;
-    }
-
     /** Until when this node may keep leases under the roster that it knows; for an owner: since it was last entitled. */
     private long until() {
         long own = membership.baton();
         if (own != 0) {
-            return membership.entitledUntil(own) + Membership.certainly(windowMs);
+            // An owner of a version that doesn't know of kept leases may follow: it would take them for ended ones.
+            return othersCount.getAsBoolean() ? membership.entitledUntil(own) + Membership.certainly(windowMs) : Leases.NEVER;
         }
         return grantedBaton == membership.rosterStamp() ? grantedUntil : Leases.NEVER;
     }
--- a/src/main/java/org/hollypick/config/Settings.java
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -30,6 +30,16 @@
 
     public record Objective(String kind, String jobClass, double withinS, double share) {}
 
+    /** Where another controller is to be asked; null for this one, or one that there isn't. */
+    public String meshAddr(String node) {
+        for (Sibling s : siblings) {
+            if (s.node().equals(node)) {
+                return s.addr();
+            }
+        }
+        return null;
+    }
+
     public static Settings read(Path file) {
         JsonNode root;
         try {
--- a/src/test/java/org/hollypick/sim/FreezeTest.java
+++ b/src/test/java/org/hollypick/sim/FreezeTest.java
@@ -54,17 +54,7 @@
         for (Predicate<Call> kind : KINDS) {
             boolean noticed = false;
             for (int seed = 1; seed <= 6 && !noticed; seed++) {
-                Day day = day(seed, kind, (r, s) -> new Node(new Runtime() {
-                    @Override
-                    public long now() {
-                        return r.now();
-                    }
-
-                    @Override
-                    public void after(long ms, Runnable task) {
-                        r.after(ms, task);
-                    }
-
+                Day day = day(seed, kind, (r, s) -> new Node(new Passing(r) {
                     @Override
                     public void call(Call c, Consumer<Reply> reply) {
                         r.call(new Call(c.address(), c.method(), c.path(), c.body(), c.timeoutMs(), c.mesh()), reply);
--- a/src/test/java/org/hollypick/sim/GraphDaysTest.java
+++ b/src/test/java/org/hollypick/sim/GraphDaysTest.java
@@ -88,17 +88,7 @@
     /** Children that are told before they are durable are lost with the owner. */
     @Test
     void theCheckerNoticesChildrenThatAreToldTooEarly() {
-        assertTrue(breaks("too_early", (r, s) -> new Node(new Runtime() {
-            @Override
-            public long now() {
-                return r.now();
-            }
-
-            @Override
-            public void after(long ms, Runnable task) {
-                r.after(ms, task);
-            }
-
+        assertTrue(breaks("too_early", (r, s) -> new Node(new Passing(r) {
             @Override
             public void call(Call c, Consumer<Reply> reply) {
                 if (c.path().equals("/commit") && c.body().path("then").toString().contains("h/x/")) {
--- a/src/test/java/org/hollypick/sim/Growth.java
+++ b/src/test/java/org/hollypick/sim/Growth.java
@@ -99,12 +99,7 @@
     }
 
     private static Node metered(Runtime r, Settings s, Meter meter) {
-        Runtime metered = new Runtime() {
-            @Override
-            public long now() {
-                return r.now();
-            }
-
+        Runtime metered = new Passing(r) {
             @Override
             public void after(long ms, Runnable task) {
                 String name = ms == Constants.PASS_GAP_MS ? "pass and orders" : ms == Constants.TICK_MS ? "regular loop" : "other timers";
--- a/src/test/java/org/hollypick/sim/PipelinesTest.java
+++ b/src/test/java/org/hollypick/sim/PipelinesTest.java
@@ -63,6 +63,12 @@
             day.submitSome(20, 150_000);
             day.drawFaults(8, 10_000, 170_000);
             day.roll(25_000, 12_000);
+            // A zone cut while both versions are there: the old one doesn't reckon with leases that the new one would keep.
+            day.controllerInZone(2, "b");
+            for (int i = 0; i < 2; i++) {
+                long ms = 10_000 + day.world.random.nextInt(25_000);
+                day.world.at(15_000 + day.world.random.nextInt(50_000), () -> day.cutZone("b", ms));
+            }
             day.play(58_000);
             day.pipelines(8, 80_000);
             day.world.at(20_000, day::tighten);
