--- a/src/test/java/org/hollypick/CodecTest.java
+++ b/src/test/java/org/hollypick/CodecTest.java
@@ -2,13 +2,18 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
+import org.hollypick.core.JobSpec;
 import org.hollypick.core.ledger.Report;
 import org.hollypick.io.Codec;
+import org.hollypick.records.GraphRecords;
+import org.hollypick.records.JobCodec;
 import org.hollypick.worker.WorkerCodec;
 import org.junit.jupiter.api.Test;
 
@@ -58,4 +63,22 @@
         assertNull(WorkerCodec.report(Codec.write(Codec.object().put("bothy", "n-1"), false)));
         assertNull(WorkerCodec.report(Codec.write(Codec.array(), false)));
     }
+
+    /** Its record named an empty team, which no reader took: a job without a team was accepted and never ran. */
+    @Test
+    void aJobWithoutATeamCanBeReadAgain() throws JobCodec.Invalid {
+        JobSpec spec = new JobSpec("req-1", "c", "", false, JobSpec.Rank.LOW, 3, 1, 0, 1, null, null, false, false, true, "img", 1, 10, 0, 0, Double.NaN);
+        assertEquals(spec, JobCodec.read(JobCodec.write(spec)));
+    }
+
+    /** A graph's record holds whatever was packed, and one that was cut short or isn't one is told apart. */
+    @Test
+    void packedEntriesComeBackOrAreRefused() throws JobCodec.Invalid {
+        ObjectNode record = GraphRecords.record("req-1", List.of(GraphRecords.sealed(), GraphRecords.result(7, Codec.object().put("value", "x"))));
+        assertEquals(2, GraphRecords.unpack(record).size());
+        String packed = record.path("b").asText();
+        for (String broken : List.of("", "no base64!", packed.substring(0, packed.length() / 2), "AAAA")) {
+            assertThrows(JobCodec.Invalid.class, () -> GraphRecords.unpack(Codec.object().put("b", broken)), broken);
+        }
+    }
 }
--- a/src/test/java/org/hollypick/SettingsTest.java
+++ b/src/test/java/org/hollypick/SettingsTest.java
@@ -92,5 +92,7 @@
         assertTrue(assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:idel-s 20}")).getMessage().contains("idel-s"));
         assertTrue(assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:first-share 2}")).getMessage().contains("first-share"));
         assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:idle-s"));
+        assertTrue(OperatorSettings.parse("{:graphs true :estimates true :graph-keep-s 60}").graphs());
+        assertTrue(assertThrows(ConfigException.class, () -> OperatorSettings.parse("{:graphs 1}")).getMessage().contains(":graphs must be true or false"));
     }
 }
--- a/src/test/java/org/hollypick/sim/KeepingTest.java
+++ b/src/test/java/org/hollypick/sim/KeepingTest.java
@@ -121,4 +121,23 @@
         }
         assertTrue(noticed);
     }
+
+    /** Hundreds of machines in a dark zone took every direct call, so that the others went unasked, and a new owner took itself to be cut off and resigned. */
+    @Test
+    void manySilentMachinesDoNotTakeAllCalls() {
+        Day day = new Day(2, 24, null, null, NEW);
+        day.controllerInZone(2, "b");
+        day.play(5_000);
+        day.submitLasting(40);
+        day.play(45_000);
+        int before = day.leader();
+        day.cutZone("b", 40_000);
+        day.world.at(1_000, () -> day.crash(before, 60_000));
+        day.play(12_000);
+        int successor = day.leader();
+        day.play(27_000);
+        assertEquals(successor, day.leader(), "it kept the lead while the zone was dark");
+        day.play(60_000);
+        assertEquals(List.of(), day.checker.broken);
+    }
 }
