--- /dev/null
+++ b/src/test/java/org/hollypick/estimate/EstimateBench.java
@@ -0,0 +1,79 @@
+package org.hollypick.estimate;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Job;
+import org.hollypick.core.JobSpec;
+import org.hollypick.core.Leases;
+import org.hollypick.core.MachineType;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.estimate.Band;
+import org.hollypick.core.estimate.Finish;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.ledger.Report;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What learning and asking cost at 1,000 machines and 500 live jobs; not in CI, see CONTRIBUTING.md. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 4, time = 1)
+@Fork(1)
+public class EstimateBench {
+    private static final MachineType TYPE = new MachineType("t", 16, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a"));
+    private static final Settings SETTINGS = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a"), Map.of(), List.of(),
+            3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+
+    private final Random random = new Random(1);
+    private Scheduler scheduler;
+    private Job last;
+    private JobSpec spec;
+
+    @Setup
+    public void prepare() {
+        scheduler = new Scheduler(5, SETTINGS, 0.3, new Leases(SETTINGS, List.of(), 0, true), true);
+        for (int i = 0; i < 1_000; i++) {
+            Machine m = scheduler.addMachine("m-" + i, TYPE, "a", true, false, 0);
+            m.registered = true;
+            scheduler.ledger.report(m, new Report(m.id, "w:1", "t", "a", true, 1, 1, 5, Double.NaN, new ArrayList<>()), true, 0);
+        }
+        for (int i = 0; i < 500; i++) {
+            spec = new JobSpec("req-" + i, "kind-" + i % 20, "team", false, JobSpec.Rank.NORMAL, 60, 2, 0, 1, null, null, false, false, true, "img", 1, 25, 0, 0, Double.NaN);
+            last = scheduler.addJob(spec, i, 5);
+            observe();
+        }
+        scheduler.pass(1_000);
+    }
+
+    /** A task's end. */
+    @Benchmark
+    public void observe() {
+        scheduler.estimates.observe(spec, "m-" + random.nextInt(1_000), 25 * Math.exp(random.nextGaussian() * 0.4), random.nextInt(20) == 0);
+    }
+
+    @Benchmark
+    public Band band() {
+        return scheduler.estimates.band(spec, 10);
+    }
+
+    /** A question of a user. */
+    @Benchmark
+    public Finish.Answer finish() {
+        return new Finish(scheduler, scheduler.estimates, id -> List.of(), 10_000).of(last);
+    }
+}
