Read again: one home for what marks an ended graph and node, groups of a task made once, unused methods gone

Cause: the mark of an ended graph was spelled out in five places and a node's end in two; each observation made a task's groups four times; four methods had no caller. Change: GraphRecords.isEnded, Graph.ended, Estimates' groups handed on. No behaviour changed.

--- a/src/main/java/org/hollypick/api/GraphApi.java
+++ b/src/main/java/org/hollypick/api/GraphApi.java
@@ -23,7 +23,6 @@
 import org.hollypick.io.Runtime;
 import org.hollypick.records.GraphRecords;
 import org.hollypick.records.JobCodec;
-import org.hollypick.records.Records;
 
 /** What users and running tasks ask about graphs, on any node: the owner answers, the others pass the call on to it once. */
 public final class GraphApi {
@@ -122,7 +121,7 @@
             return;
         }
         View.Entry e = view.get(Keys.job(id));
-        if (e != null && Records.isOver(e.data()) && e.data().path("ended_graph").asBoolean()) {
+        if (e != null && GraphRecords.isEnded(e.data())) {
             show(false, id, 0, answer); // a late retry
             return;
         }
@@ -172,7 +171,7 @@
         }
         jobs.status(id, a -> {
             View.Entry e = view.get(Keys.job(id));
-            if (a.status() == 200 && e != null && !GraphRecords.isGraph(e.data()) && !e.data().path("ended_graph").asBoolean()) {
+            if (a.status() == 200 && e != null && !GraphRecords.isGraph(e.data()) && !GraphRecords.isEnded(e.data())) {
                 answer.accept(Answer.error(404, "no graph, but a job"));
                 return;
             }
@@ -195,7 +194,7 @@
     /** What a graph's own record says once it is over. */
     private void ended(String id, ObjectNode b) {
         View.Entry e = view.get(Keys.job(id));
-        if (e != null && e.data().path("ended_graph").asBoolean()) {
+        if (e != null && GraphRecords.isEnded(e.data())) {
             for (String field : List.of("nodes", "failed", "cancelled", "why")) {
                 if (!b.has(field)) {
                     b.set(field, e.data().path(field));
--- a/src/main/java/org/hollypick/control/Graphs.java
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -22,7 +22,6 @@
 import org.hollypick.core.graph.Refusal;
 import org.hollypick.core.ledger.Placement;
 import org.hollypick.io.Codec;
-import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
 import org.hollypick.records.GraphRecords;
 import org.hollypick.records.JobCodec;
@@ -238,7 +237,7 @@
     public Live find(String id) {
         Live g = graphs.get(id);
         View.Entry e = view.get(Keys.job(id));
-        if (g == null && e != null && Records.isOver(e.data()) && e.data().path("ended_graph").asBoolean()) {
+        if (g == null && e != null && GraphRecords.isEnded(e.data())) {
             return ended(id);
         }
         return g;
@@ -437,7 +436,7 @@
             answer.accept(Outcome.refused(409, "the graph is over"));
             return;
         }
-        if (g.graph.state(i) != Graph.State.DONE && g.graph.state(i) != Graph.State.CANCELLED && g.graph.state(i) != Graph.State.FAILED) {
+        if (!g.graph.ended(i)) {
             g.end(i, Graph.State.CANCELLED, "cancelled by its user", () -> { });
         }
         Graph.State became = g.graph.state(i);
--- a/src/main/java/org/hollypick/core/estimate/Estimates.java
+++ b/src/main/java/org/hollypick/core/estimate/Estimates.java
@@ -43,9 +43,8 @@
         this.learns = learns;
     }
 
-    public boolean learns() {
-        return learns;
-    }
+    /** So many of a task's groups are of its own kind. */
+    private static final int OWN_GROUPS = 2;
 
     /** The groups that a task belongs to, the narrowest first. */
     private static List<String> groups(JobSpec s) {
@@ -74,8 +73,9 @@
         if (!learns) {
             return;
         }
+        List<String> groups = groups(spec);
         if (!cutShort) {
-            Band expected = band(spec, 0);
+            Band expected = band(spec, groups, 0);
             boolean late = expected.runs() >= SPEAKS && ranS > SLOW_TIMES * expected.p90();
             int run = late ? slow.getOrDefault(machine, 0) + 1 : 0;
             slow.put(machine, run);
@@ -83,11 +83,10 @@
                 return;
             }
         }
-        for (String group : groups(spec)) {
+        for (String group : groups) {
             kinds.computeIfAbsent(group, k -> new History()).add(ranS, estimateS(spec), cutShort);
         }
-        dirty.add(groups(spec).get(0));
-        dirty.add(groups(spec).get(1));
+        dirty.addAll(groups.subList(0, OWN_GROUPS));
     }
 
     /** Most machines are in line: if all are slow, the kind has changed and no machine is to blame. */
@@ -101,9 +100,13 @@
 
     /** How long such a task takes in all, given that it has run for {@code ranS} already. */
     public Band band(JobSpec spec, double ranS) {
+        return band(spec, groups(spec), ranS);
+    }
+
+    private Band band(JobSpec spec, List<String> groups, double ranS) {
         History best = null;
         String from = "";
-        for (String group : groups(spec)) {
+        for (String group : groups) {
             History h = kinds.get(group);
             if (h != null && h.ended() > 0 && (best == null || best.ended() < SPEAKS)) {
                 best = h;
@@ -117,18 +120,12 @@
         }
         Curve curve = best.curve(estimateS(spec));
         Band band = new Band(curve.quantile(0.1, ran), curve.quantile(0.5, ran), curve.quantile(0.9, ran), best.ended(), from);
-        boolean own = from.equals(groups(spec).get(0)) || from.equals(groups(spec).get(1));
+        boolean own = groups.indexOf(from) >= 0 && groups.indexOf(from) < OWN_GROUPS;
         double thin = best.ended() >= SURE ? 1 : 1 + 2.0 / (1 + best.ended());
         Band wide = band.widened(thin * (own ? 1 : 1.5));
         return new Band(Math.max(wide.p10(), ran), wide.p50(), wide.p90(), wide.runs(), own ? from : "borrowed from " + from);
     }
 
-    /** How often a kind's history was set aside since it had changed. */
-    public long changes(JobSpec spec) {
-        History h = kinds.get(groups(spec).get(0));
-        return h == null ? 0 : h.changes();
-    }
-
     /** A source of run times for one kind of task: the same draws for the same seed. */
     Sampler sampler(JobSpec spec) {
         return new Sampler(spec);
@@ -181,10 +178,6 @@
         return taken;
     }
 
-    public void learnedAgain(List<String> kindsAgain) {
-        dirty.addAll(kindsAgain);
-    }
-
     /** The newest runs of a kind; null if it was dropped. */
     public Kept keep(String kind, int most) {
         History h = kinds.get(kind);
--- a/src/main/java/org/hollypick/core/estimate/History.java
+++ b/src/main/java/org/hollypick/core/estimate/History.java
@@ -25,7 +25,6 @@
     private int next;
     private int ended;
     private long seen;
-    private long changes;
 
     static short log(double value) {
         double v = Double.isNaN(value) ? LEAST_S : Math.min(MOST_S, Math.max(LEAST_S, value));
@@ -91,7 +90,6 @@
         boolean below = newest[CHANGED_RUNS - 1] < older[(int) (rest * 0.05)] && -shift > apart;
         if (above || below) {
             keepNewest(keep);
-            changes++;
         }
     }
 
@@ -123,10 +121,6 @@
         return seen;
     }
 
-    long changes() {
-        return changes;
-    }
-
     /** Runs that say how long one with that estimate takes: a survival curve over seconds. */
     Curve curve(double estimateS) {
         boolean byRatio = estimateS > 0 && spread(ratios) < spread(times);
--- a/src/main/java/org/hollypick/core/graph/Graph.java
+++ b/src/main/java/org/hollypick/core/graph/Graph.java
@@ -393,7 +393,8 @@
         return taken;
     }
 
-    private boolean ended(int i) {
+    /** Done, failed or cancelled: nothing becomes of it any more. */
+    public boolean ended(int i) {
         return states[i] == State.DONE || states[i] == State.FAILED || states[i] == State.CANCELLED;
     }
 
--- a/src/main/java/org/hollypick/records/GraphRecords.java
+++ b/src/main/java/org/hollypick/records/GraphRecords.java
@@ -19,6 +19,7 @@
 /** What the records of a graph hold: one in the place of a job's, and a log of what became of its nodes, packed. */
 public final class GraphRecords {
     private static final String GRAPH = "graph";
+    private static final String ENDED = "ended_graph";
 
     private GraphRecords() {}
 
@@ -32,6 +33,11 @@
         return record;
     }
 
+    /** Whether it is what the end of a graph left. */
+    public static boolean isEnded(JsonNode record) {
+        return record.path(ENDED).asBoolean();
+    }
+
     public static boolean isGraph(JsonNode record) {
         return record.has(GRAPH);
     }
@@ -49,7 +55,7 @@
     /** The end of a graph: how many nodes ended how. */
     public static ObjectNode over(String status, Graph graph, String why) {
         ObjectNode record = Records.over(status, graph.count(Graph.State.DONE));
-        record.put("ended_graph", true).put("nodes", graph.count()).put("failed", graph.count(Graph.State.FAILED))
+        record.put(ENDED, true).put("nodes", graph.count()).put("failed", graph.count(Graph.State.FAILED))
                 .put("cancelled", graph.count(Graph.State.CANCELLED)).put("why", why);
         return record;
     }
