--- a/src/main/java/org/hollypick/cli/Main.java
+++ b/src/main/java/org/hollypick/cli/Main.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import org.hollypick.Node;
@@ -22,7 +23,7 @@
 
 /** The command line. */
 @Command(name = "hollypick", mixinStandardHelpOptions = true, version = "hollypick 0.1.0",
-        description = "A controller of the hollypick cluster scheduler.")
+        description = "A controller of the hollypick cluster scheduler.", footer = "hollypick graph --help: task graphs from the command line.")
 public final class Main implements Callable<Integer> {
     @Option(names = "--operator", paramLabel = "FILE", description = "the operators' own settings, an EDN map")
     private Path operatorFile;
@@ -40,7 +41,9 @@
 
     public static void main(String[] args) {
         Logs.configure(System.getenv("LOG_LEVEL"));
-        int code = new CommandLine(new Main()).execute(args);
+        // A controller's start loads nothing of the other commands.
+        int code = args.length > 0 && args[0].equals("graph") ? GraphCommand.execute(Arrays.copyOfRange(args, 1, args.length))
+                : new CommandLine(new Main()).execute(args);
         if (code != 0) {
             System.exit(code);
         }
--- a/src/test/java/org/hollypick/LayoutTest.java
+++ b/src/test/java/org/hollypick/LayoutTest.java
@@ -33,6 +33,12 @@
             .whereLayer("io").mayOnlyBeAccessedByLayers("protocols", "cluster", "records", "control", "api", "node", "cli")
             .whereLayer("core").mayOnlyBeAccessedByLayers("protocols", "cluster", "records", "control", "api", "node");
 
+    /** Whoever uses the client library needs nothing of the server. */
+    @ArchTest
+    static final ArchRule clientStandsAlone = noClasses().that().resideInAPackage("org.hollypick.client..").should().dependOnClassesThat()
+            .resideInAnyPackage("org.hollypick", "org.hollypick.core..", "org.hollypick.control..", "org.hollypick.api..", "org.hollypick.io..",
+                    "org.hollypick.records..", "org.hollypick.config..", "org.hollypick.cluster..", "org.hollypick.state..", "org.hollypick.cli..");
+
     @ArchTest
     static final ArchRule coreIsPure = noClasses().that().resideInAPackage("org.hollypick.core..").should().dependOnClassesThat()
             .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "com.fasterxml..", "io.undertow..",
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -302,6 +302,17 @@
         return answer[0];
     }
 
+    /** A user's request to some controller, its body as it comes from the wire. */
+    void raw(String method, String path, byte[] body, Consumer<Reply> reply) {
+        Host h = hosts.get(world.random.nextInt(hosts.size()));
+        if (h.process.dead) {
+            world.at(10, () -> reply.accept(new Reply(503, Codec.object())));
+            return;
+        }
+        World.Process at = h.process;
+        at.awake(() -> h.node.handle(method, path, body, answer -> at.out(() -> reply.accept(answer.get()))));
+    }
+
     /** Users who cancel a job in the moment when its last task completes. */
     void withdrawOnceComplete() {
         checker.submitted.keySet().stream().filter(id -> checker.isAccepted(id) && checker.isComplete(id) && hasty.add(id)).toList().forEach(this::withdraw);
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/LoopbackTest.java
@@ -0,0 +1,243 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.hollypick.Node;
+import org.hollypick.client.GraphSpec;
+import org.hollypick.client.HollypickClient;
+import org.hollypick.client.HollypickException;
+import org.hollypick.client.Task;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The client library over real HTTP on loopback, in front of the simulated controllers and machines. */
+class LoopbackTest {
+    private static final Task TASK = new Task().cores(1).memoryGb(2).image("img-0", 1).expectSeconds(2).spot(true);
+
+    /** What the tasks of the client's graphs do, by node. */
+    interface Work {
+        CompletableFuture<Void> run(String node, HollypickClient.Running self);
+    }
+
+    private final Day day = new Day(5, 1, null, null, (r, s) -> new Node(r, s, OperatorSettings.parse("{:graphs true}")));
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final Map<String, String> nodeOf = new HashMap<>();
+    private HttpServer http;
+    private HollypickClient client;
+    private volatile boolean over;
+    private Work work;
+
+    @BeforeEach
+    void open() throws IOException {
+        http = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        http.setExecutor(threads);
+        http.createContext("/", x -> {
+            byte[] bytes = x.getRequestBody().readAllBytes();
+            Reply r = ask(x.getRequestMethod(), x.getRequestURI().toString(), bytes);
+            byte[] told = Codec.write(r.body(), false);
+            if (r.status() == 503) {
+                x.getResponseHeaders().add("Retry-After", "1");
+            }
+            x.sendResponseHeaders(r.status() <= 0 ? 504 : r.status(), told.length);
+            x.getResponseBody().write(told);
+            x.close();
+        });
+        http.start();
+        // The second address never answers: the client goes on to the next.
+        client = new HollypickClient(List.of("127.0.0.1:" + http.getAddress().getPort(), "127.0.0.1:1"),
+                new HollypickClient.Times(Duration.ofSeconds(40), Duration.ofSeconds(5), Duration.ofMillis(100)));
+        day.checker.program = (task, attempt, finish) -> {
+            String node = nodeOf.get(task);
+            HollypickClient.Running self = client.graph(task.substring(0, task.indexOf('/'))).running(node, attempt);
+            threads.execute(() -> work.run(node, self).whenComplete((done, failed) -> {
+                synchronized (day) {
+                    finish.run();
+                }
+            }));
+        };
+        threads.execute(() -> {
+            while (!over) {
+                synchronized (day) {
+                    day.play(100);
+                }
+                pause(); // a hundred times as fast as the clock: calls take real time
+            }
+        });
+        synchronized (day) {
+            day.play(5_000);
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(1);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @AfterEach
+    void close() throws InterruptedException {
+        over = true;
+        http.stop(0);
+        threads.shutdownNow();
+        assertTrue(threads.awaitTermination(20, TimeUnit.SECONDS));
+        assertEquals(List.of(), day.checker.broken);
+    }
+
+    /** A call's way into the simulated world; descriptions of new nodes go to the machines, as users' uploads do. */
+    private Reply ask(String method, String path, byte[] bytes) {
+        JsonNode body = Codec.read(bytes, false);
+        synchronized (day) {
+            Reply[] answer = {null};
+            if (body != null && body.has("nodes")) {
+                String id = body.path("name_id").asText(path.split("/").length > 2 ? path.split("/")[2] : "");
+                if (!day.checker.submitted.containsKey(id)) {
+                    day.checker.submitting(id, body, day.world.now);
+                }
+            }
+            if (path.endsWith("/withdraw")) {
+                day.checker.withdrawing(path.split("/")[2]);
+            }
+            day.raw(method, path, bytes, r -> answer[0] = r);
+            for (int i = 0; answer[0] == null && i < 600; i++) {
+                day.play(10);
+            }
+            if (answer[0] == null) {
+                return Reply.noAnswer();
+            }
+            if (body != null) {
+                body.path("nodes").forEach(n -> {
+                    String task = answer[0].body().path("tasks").path(n.path("id").asText()).asText();
+                    if (!task.isEmpty()) {
+                        nodeOf.put(task, n.path("id").asText());
+                        day.checker.nodes.put(task, ((ObjectNode) n.deepCopy()).put("shape", "batch"));
+                    }
+                });
+            }
+            return answer[0];
+        }
+    }
+
+    private static HollypickException failure(CompletableFuture<?> call) {
+        Throwable cause = assertThrows(CompletionException.class, call::join).getCause();
+        return (HollypickException) cause;
+    }
+
+    /**
+     * A parent that waited for its children would hold its cores, and ten of them would fill any limit. Here each hands on and ends: ten levels deep, under what
+     * is left of a limit that fits two tasks, everything is done, and the root's result is what came up from below.
+     */
+    @Test
+    void aNestTenDeepUnderALimitForTwoTasksIsDone() {
+        synchronized (day) {
+            ObjectNode filler = Codec.object().put("name_id", "req-000900").put("jobkind", "web").put("owner", "team").put("shape", "standing").put("rank", "prod")
+                    .put("shards", 3).put("cores", 8.0).put("gpus", 0.0).put("ram_gb", 2.0).put("together", false).put("spread", false).put("lendable", false)
+                    .put("bundle", "img-1").put("pull_gb", 1.0).put("expect_s", 0.0).put("bookmark_s", 0.0).put("stow_s", 0.0);
+            day.ask("POST", "/submissions", filler);
+            day.play(40_000);
+        }
+        Task large = new Task().cores(8).memoryGb(2).image("img-0", 1).expectSeconds(1).spot(true);
+        Map<String, Integer> results = new HashMap<>();
+        work = (node, self) -> {
+            if (node.endsWith("+")) { // a continuation: one more than what it awaited
+                int below = results.get(node.substring(0, node.length() - 1) + ".");
+                results.put(node, below + 1);
+                results.put(node.substring(0, node.length() - 1), below + 1);
+                return self.result(below + 1);
+            }
+            int level = node.length() - node.replace(".", "").length();
+            if (level == 10) {
+                results.put(node, 0);
+                return self.result(0);
+            }
+            return self.child(node + ".", large).child(node + "+", large, node + ".").handOnTo(node + "+").submit();
+        };
+        HollypickClient.Graph graph = client.submit(new GraphSpec("req-000901", "nest").team("team").defaults(large).node("n", large)).join();
+        assertEquals("done", graph.over().join().status());
+        assertEquals(10, graph.result("n", Integer.class).join());
+    }
+
+    @Test
+    void aGraphOutlivesItsOwnerAndKeepsItsResults() {
+        work = (node, self) -> node.equals("first") ? self.result(List.of("a", 1)).thenCompose(v -> self.child("more", TASK).submit()) : self.resultAt("s3://bucket/" + node);
+        GraphSpec spec = new GraphSpec("req-000910", "harness").team("team").rank("low").defaults(TASK).node("first", TASK).node("last", TASK, "first");
+        HollypickClient.Graph graph = client.submit(spec).join();
+        synchronized (day) {
+            day.crash(day.leader(), 8_000);
+        }
+        assertEquals("done", graph.over().join().status());
+        assertEquals("[a, 1]", graph.result("first", List.class).join().toString());
+        assertEquals("s3://bucket/last", graph.result("last", String.class).join());
+        assertEquals("req-000910", client.submit(spec).join().id(), "a late retry finds what is over");
+        HollypickException other = failure(client.submit(new GraphSpec("req-000911", "harness").team("team").defaults(TASK).node("a", TASK))
+                .thenCompose(g -> client.submit(new GraphSpec("req-000911", "harness").team("team").defaults(TASK).node("a", new Task().cores(2)))));
+        assertTrue(other instanceof HollypickException.Conflict && other.getMessage().contains("description"), other.toString());
+        assertEquals(404, failure(client.graph("req-000999").status()).status());
+        assertEquals(404, failure(graph.result("nowhere", String.class)).status());
+    }
+
+    @Test
+    void cancellingANodeTakesWhatNeedsItAndNothingElse() {
+        CompletableFuture<Void> never = new CompletableFuture<>();
+        work = (node, self) -> node.equals("slow") ? never : CompletableFuture.completedFuture(null);
+        HollypickClient.Graph graph = client.submit(new GraphSpec("req-000920", "harness").team("team").defaults(TASK).node("slow", TASK)
+                .node("behind", TASK, "slow").node("apart", TASK)).join();
+        assertEquals("cancelled", graph.withdraw("slow").join());
+        HollypickClient.Status end = graph.over().join();
+        assertEquals("aborted", end.status());
+        JsonNode shown = graph.show(0).join();
+        List<String> states = new ArrayList<>();
+        shown.path("nodes").forEach(n -> states.add(n.path("id").asText() + " " + n.path("state").asText()));
+        states.sort(null);
+        assertEquals(List.of("apart done", "behind cancelled", "slow cancelled"), states);
+        assertTrue(shown.path("nodes").toString().contains("needs slow"), shown.toString());
+    }
+
+    @Test
+    void whatIsWrongIsRefusedAndNothingIsStored() throws Exception {
+        HollypickException cyclic = failure(client.submit(new GraphSpec("req-000930", "x").defaults(TASK).node("a", TASK, "b").node("b", TASK, "a")));
+        assertTrue(cyclic.getMessage().contains("cycle"), cyclic.getMessage());
+        byte[] good = Codec.write(Codec.object().put("name_id", "req-000931").put("jobkind", "x").put("rank", "low"), false);
+        for (byte[] garbage : List.of(new byte[0], new byte[] {1, 2, 3}, "nonsense".getBytes(), Arrays.copyOf(good, good.length - 3))) {
+            assertEquals(400, ask("POST", "/graphs", garbage).status());
+        }
+        assertEquals(400, ask("POST", "/graphs", good).status(), "no task to be had from it");
+        ObjectNode unknownTeam = Codec.object().put("name_id", "req-000932").put("jobkind", "x").put("rank", "low").put("owner", "nobody");
+        unknownTeam.putObject("task").put("cores", 1.0).put("ram_gb", 1.0).put("bundle", "i");
+        unknownTeam.putArray("nodes").addObject().put("id", "a");
+        assertEquals(422, ask("POST", "/graphs", Codec.write(unknownTeam, false)).status());
+        ObjectNode dangling = unknownTeam.deepCopy().put("owner", "team").put("name_id", "req-000933");
+        dangling.putArray("nodes").addObject().put("id", "a").putArray("awaits").add("b");
+        assertEquals(422, ask("POST", "/graphs", Codec.write(dangling, false)).status());
+        for (String id : List.of("req-000930", "req-000931", "req-000932", "req-000933")) {
+            assertEquals(404, ask("GET", "/graphs/" + id, new byte[0]).status(), id);
+        }
+        assertEquals(404, ask("GET", "/graphs/../../x", new byte[0]).status());
+        assertNull(day.state.data("h/j/req-000933"));
+    }
+}
