--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -24,6 +24,8 @@
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
+import org.hollypick.relay.Relay;
+import org.hollypick.relay.RelayCodec;
 import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerClient;
@@ -47,6 +49,7 @@
     private final JobRecords jobs;
     private final UserApi users;
     private final Keeper keeper;
+    private final Relay relay;
     /** Null unless the operators switched graphs on. */
     private final GraphApi graphs;
     /** Shared with the term; prices in it follow the cloud. */
@@ -79,6 +82,7 @@
         this.graphs = operator.graphs() ? new GraphApi(runtime, settings, view, membership, users, () -> term, () -> types.isEmpty() ? null : types) : null;
         this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled,
                 () -> term != null && term.scheduler.leases.allAsked(), this::kept);
+        this.relay = new Relay(runtime, settings, membership, keeper, report -> term != null && term.acting() ? hello(report, settings.node()) : null);
     }
 
     public void start() {
@@ -129,7 +133,7 @@
             }
             state.setOwner(true);
             term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, () -> membership.entitled(baton),
-                    membership::reachesState, () -> membership.fence(baton), membership::resign, membership.terms() == 1, maker);
+                    membership::reachesState, () -> membership.fence(baton), membership::mayResign, membership::resign, membership.terms() == 1, maker);
             term.start();
         }
         membership.claimIfFree();
@@ -142,7 +146,11 @@
         int query = target.indexOf('?');
         String path = query < 0 ? target : target.substring(0, query);
         if (path.equals("/hello")) {
-            answer.accept(method.equals("POST") ? hello(bytes) : notAllowed());
+            if (method.equals("POST")) {
+                relay.hello(bytes, answer);
+            } else {
+                answer.accept(notAllowed());
+            }
         } else if (path.equals("/ready")) {
             answer.accept(method.equals("GET") ? ready() : notAllowed());
         } else if (graphs != null && (path.equals("/graphs") || path.startsWith("/graphs/"))) {
@@ -188,6 +196,11 @@
                     : Answer.later("not the owner under that baton"));
             return;
         }
+        if (path.equals(RelayCodec.PATH) && method.equals("POST")) {
+            answer.accept(term != null && term.acting() ? RelayCodec.take(Codec.read(bytes, true), term.baton, this::rightMs, this::hello).only(term::acting)
+                    : Answer.later("not the owner"));
+            return;
+        }
         if (path.equals("/reach") && method.equals("POST")) {
             JsonNode body = Codec.read(bytes, true);
             Term.reach(runtime, body == null ? Codec.object() : body, membership.reachesState(), answer);
@@ -232,22 +245,14 @@
         return ready ? Answer.of(200, Codec.object().put("ready", true)) : Answer.later("starting");
     }
 
-    private Answer hello(byte[] body) {
-        if (term != null && term.acting()) {
-            Report report = WorkerCodec.report(body);
-            return report == null ? Answer.error(400, "not a report") : term.hello(report);
-        }
-        if (keeper.keeping()) {
-            Report report = WorkerCodec.report(body);
-            Answer kept = report == null ? null : keeper.answer(report);
-            if (kept != null) {
-                return kept;
-            }
-        }
-        String leader = membership.leader();
-        if (leader == null || leader.equals(settings.node())) {
-            return Answer.later("not entitled to act");
-        }
-        return Answer.of(421, Codec.object().put("foreman", leader));
+    /** For how long others may pass on what this owner answers: no longer than it may act itself. */
+    private long rightMs() {
+        return Math.min(Constants.RELAY_RIGHT_MS, membership.entitledUntil(term.baton) - runtime.now());
+    }
+
+    /** The owner's answer to a machine's report that came through that controller. */
+    private Answer hello(byte[] body, String via) {
+        Report report = WorkerCodec.report(body);
+        return report == null ? Answer.error(400, "not a report") : term.hello(report, via);
     }
 }
--- a/src/main/java/org/hollypick/cli/Main.java
+++ b/src/main/java/org/hollypick/cli/Main.java
@@ -4,6 +4,8 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import org.hollypick.Node;
@@ -13,6 +15,7 @@
 import org.hollypick.config.Settings;
 import org.hollypick.io.HttpServer;
 import org.hollypick.io.Network;
+import org.hollypick.io.Sockets;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -112,9 +115,11 @@
         public void run() {
             try {
                 DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
-                Network network = new Network(worker.getIoThread(), buffers, (int) (settings.sockets() * Constants.IDLE_SOCKETS));
+                Sockets sockets = new Sockets(settings.sockets());
+                Network network = new Network(worker.getIoThread(), buffers, sockets, Set.copyOf(List.of(settings.state(), settings.cloud())),
+                        (int) (settings.sockets() * Constants.IDLE_SOCKETS));
                 Node node = new Node(network, settings, operator);
-                Undertow server = HttpServer.start(worker, buffers, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
+                Undertow server = HttpServer.start(worker, buffers, sockets, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
                 network.after(0, node::start);
                 started.complete(server);
             } catch (RuntimeException | Error e) {
--- a/src/main/java/org/hollypick/cli/SelfTest.java
+++ b/src/main/java/org/hollypick/cli/SelfTest.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.hollypick.io.Call;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Network;
+import org.hollypick.io.Sockets;
 import org.hollypick.io.Reply;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -32,7 +34,7 @@
         Undertow server = Main.serve(settings, OperatorSettings.defaults());
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
-        Network client = new Network(worker.getIoThread(), new DefaultByteBufferPool(true, 8 * 1024), 10);
+        Network client = new Network(worker.getIoThread(), new DefaultByteBufferPool(true, 8 * 1024), new Sockets(100), Set.of(), 10);
         boolean ok = true;
         for (Call call : List.of(
                 Call.of(users, "GET", "/ready", null, 5_000),
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -1,6 +1,8 @@
 package org.hollypick.cluster;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.longs.LongArrayList;
 import java.util.List;
 import java.util.TreeSet;
 import org.hollypick.config.Constants;
@@ -30,6 +32,11 @@
     private long tenancy;
     private boolean held;
     private long holdUntil;
+    /** The leader that the roster names still has its member key. */
+    public boolean leaderIsThere() {
+        return !free();
+    }
+
     /** The stamp of this incarnation's member key; 0 while there is none. */
     private long memberStamp;
     private long renewedAt;
@@ -41,7 +48,11 @@
     private long aloneUntil;
     private boolean claiming;
     private long claimNotBefore;
+    /** What an earlier self let others answer for it is over. */
+    private final long rightsOver;
     private int incarnation;
+    /** When this node gave up its lead, by the time of day; told with its member key, so that all know. */
+    private final LongArrayList resigned = new LongArrayList();
 
     public Membership(Runtime runtime, StateClient state, Settings settings, View view, Runnable changed) {
         this.runtime = runtime;
@@ -54,6 +65,7 @@
         this.rank = names.headSet(settings.node()).size();
         // An earlier self may have promised just before it ended.
         this.silentUntil = runtime.now() + possibly(Constants.PROMISE_MS);
+        this.rightsOver = runtime.now() + possibly(Constants.RELAY_RIGHT_MS);
         askOthers();
     }
 
@@ -61,15 +73,7 @@
     public void start() {
         state.get(Keys.member(settings.node()), r -> {
             if (r.ok() && r.body().path("tenancy").isNumber()) {
-                long old = Codec.u64(r.body().path("tenancy"));
-                state.end(old, e -> {
-                    LOG.info("ended the hold of the earlier self tenancy={} status={}", Long.toUnsignedString(old), e.status());
-                    if (e.status() == 200 || e.status() == 204 || e.status() == 404) {
-                        join();
-                    } else {
-                        runtime.after(300, this::start);
-                    }
-                });
+                endEarlier(Codec.u64(r.body().path("tenancy")));
             } else if (r.ok() || r.status() == 404) {
                 join();
             } else {
@@ -78,6 +82,18 @@
         });
     }
 
+    /** Not before others have certainly stopped passing on what the earlier self answered. */
+    private void endEarlier(long old) {
+        runtime.after(Math.max(0, rightsOver - runtime.now()), () -> state.end(old, e -> {
+            LOG.info("ended the hold of the earlier self tenancy={} status={}", Long.toUnsignedString(old), e.status());
+            if (e.status() == 200 || e.status() == 204 || e.status() == 404) {
+                join();
+            } else {
+                runtime.after(300, this::start);
+            }
+        }));
+    }
+
     private void join() {
         int self = ++incarnation;
         held = false;
@@ -97,7 +113,7 @@
     }
 
     /** How long a time that runs on another clock certainly lasts here. */
-    static long certainly(long ms) {
+    public static long certainly(long ms) {
         return (long) (ms * (1 - Constants.DRIFT)) - Constants.CLOCK_MARGIN_MS;
     }
 
@@ -116,6 +132,8 @@
             return;
         }
         ObjectNode data = Codec.object().put("location", settings.zone()).put("mesh", settings.meshAddr());
+        ArrayNode times = data.putArray("resigned");
+        resigned.forEach(times::add);
         // Conditional on the key's absence: a copy that is applied late must not give the key a new stamp, which the others
         // would take for a new incarnation while this one still acts.
         String key = Keys.member(settings.node());
@@ -242,7 +260,7 @@
     }
 
     /** Until when this node may, or might, act as leader under this baton. */
-    long entitledUntil(long baton) {
+    public long entitledUntil(long baton) {
         return Math.max(held ? holdUntil : Leases.NEVER, promisedBaton == baton ? promisedUntil : Leases.NEVER);
     }
 
@@ -274,12 +292,40 @@
         return view.stamp(Keys.ROSTER);
     }
 
+    /**
+     * Whether the last time that any controller gave up its lead is long enough ago, the longer the more of them did lately: if that didn't help, it
+     * hardly will now, and each takeover is work for those that remain.
+     */
+    public boolean mayResign() {
+        long now = runtime.timeOfDay();
+        LongArrayList lately = new LongArrayList(resigned);
+        for (Settings.Sibling s : settings.siblings()) {
+            View.Entry member = view.get(Keys.member(s.node()));
+            if (member != null) {
+                member.data().path("resigned").forEach(t -> lately.add(t.asLong()));
+            }
+        }
+        lately.removeIf(t -> t > now + Constants.CLOCK_MARGIN_MS || now - t > Constants.RESIGN_MEMORY_MS);
+        long last = 0;
+        for (long t : lately) {
+            last = Math.max(last, t);
+        }
+        int count = Math.min(lately.size(), Constants.RESIGN_DOUBLINGS);
+        return lately.isEmpty() || now - last >= Constants.RESIGN_PAUSE_MS << count;
+    }
+
     /** Gives up the lead, and this incarnation with it, so that another controller takes over. */
     public void resign() {
         long old = tenancy;
+        resigned.add(runtime.timeOfDay());
+        if (resigned.size() > Constants.RESIGN_DOUBLINGS) {
+            resigned.removeLong(0);
+        }
         claimNotBefore = runtime.now() + Constants.RESIGNED_MS;
         join();
-        state.end(old, r -> LOG.info("resigned tenancy={} status={}", Long.toUnsignedString(old), r.status()));
+        // Others may still pass answers of this owner on, for as long as it told them.
+        runtime.after(possibly(Constants.RELAY_RIGHT_MS),
+                () -> state.end(old, r -> LOG.info("resigned tenancy={} status={}", Long.toUnsignedString(old), r.status())));
         changed.run();
     }
 
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -15,6 +15,14 @@
     public static final long HOLD_MS = 4_000;
     /** Milliseconds between renewals: three tries fit into a hold. */
     public static final long RENEW_MS = 1_000;
+    /** Milliseconds between two resignations in the group, doubled with each lately: a new owner needs some seconds to hear of its machines. */
+    public static final long RESIGN_PAUSE_MS = 10_000;
+    /** Milliseconds after which a resignation no longer counts. */
+    public static final long RESIGN_MEMORY_MS = 300_000;
+    /** Doublings of that pause at most: about as long as resignations are remembered. */
+    public static final int RESIGN_DOUBLINGS = 5;
+    /** Milliseconds that a term lasts at least before it is given up: machines report every few seconds, twice until they are heard of. */
+    public static final long TERM_LEAST_MS = 8_000;
     /** Milliseconds until a failed renewal is tried again: quick enough to catch the end of an outage. */
     public static final long RENEW_RETRY_MS = 500;
     /** Milliseconds for which a node promises an owner that can't reach the state service not to claim its lead; also how long a
@@ -40,7 +48,7 @@
     /** Milliseconds between two questions to the other controllers about such machines. */
     public static final long REACH_EVERY_MS = 500;
     /** Machines in one such question at most: each costs the asked one a call. */
-    public static final int REACH_MACHINES = 16;
+    public static final int REACH_MACHINES = 48;
     /** Milliseconds for the asked controller's own question to a machine: its answer should be there before the owner's second try is over. */
     public static final long REACH_INSPECT_MS = 700;
     /** Milliseconds for the whole question. */
@@ -66,6 +74,36 @@
     /** Milliseconds added to a worker's lease before it counts as over: its own clock's steps. */
     public static final long LEASE_MARGIN_MS = 500;
 
+    // ---- reports handed on to the owner ----
+    /** Milliseconds for which reports are gathered before they are handed on: a report may come late by a tenth of its interval unnoticed. */
+    public static final long RELAY_GATHER_MS = 40;
+    /** Milliseconds for which a report may wait for an owner; the machine waits 4 s for its answer. */
+    public static final long RELAY_HOLD_MS = 2_500;
+    /** Milliseconds until waiting reports are looked at again, and until a failed bundle is sent again, doubled with each failure up to so many times. */
+    public static final long RELAY_RETRY_MS = 100;
+    public static final int RELAY_DOUBLINGS = 3;
+    /** Milliseconds for a bundle. */
+    public static final long RELAY_TIMEOUT_MS = 1_200;
+    /** Milliseconds for which an owner's answers may be passed on: as long as a bundle may take. An owner that resigns waits that long. */
+    public static final long RELAY_RIGHT_MS = 1_200;
+    /** Reports in one bundle at most, and their bytes: a request holds 64 KiB, and base64 makes a third more of them. */
+    public static final int RELAY_REPORTS = 200;
+    public static final int RELAY_BYTES = 40_000;
+    /** Bundles under way at most: the owner answers the reports of one together. */
+    public static final int RELAY_OPEN = 3;
+    /** Reports that wait at most, and their bytes: one of each of some thousand machines. */
+    public static final int RELAY_HELD = 6_000;
+    public static final int RELAY_HELD_BYTES = 4 * 1024 * 1024;
+    /** Milliseconds since its last bundle for which a controller counts as one that hands reports on. */
+    public static final long RELAY_ALIVE_MS = 3_000;
+    /** Part of the machines that the owner hears itself, as a multiple of the others'. */
+    public static final double OWNER_SHARE = 0.5;
+    /** Multiple of its part, and machines besides, from which on a controller has too many: less isn't worth a move. */
+    public static final double UNEVEN = 1.25;
+    public static final int UNEVEN_MACHINES = 8;
+    /** Share of the machines that are sent elsewhere in a second at most. */
+    public static final double MOVED_SHARE = 0.02;
+
     // ---- task graphs ----
     /** Nodes in one entry of a graph's log at most: some kilobytes before they are packed. */
     public static final int GRAPH_NODES_AN_ENTRY = 200;
@@ -123,6 +161,19 @@
     public static final long MESH_TIMEOUT_MS = 700;
     /** Milliseconds for which an owner that left a question unanswered isn't asked: its record is read instead. */
     public static final long OWNER_SILENT_MS = 3_000;
+    /** Milliseconds by which a call's end is put off once, so that what came in while this process was held up is read first. */
+    public static final long LAST_LOOK_MS = 30;
+    /** Share of the sockets that are given out: connections made and not yet asked anything aren't counted, nor are listening sockets. */
+    public static final double SOCKETS_USED = 0.95;
+    /** Share kept for the state service, the cloud, other controllers and health checks, and the least number: some connections to each. */
+    public static final double CONTROL_SOCKETS = 0.03;
+    public static final int CONTROL_SOCKETS_LEAST = 40;
+    /** Share kept for calls to machines: all that may be under way at once, and some kept for later. */
+    public static final double ORDER_SOCKETS = 0.12;
+    /** Share kept for machines' reports; beyond their room connections are closed after the answer, which costs a connection a report. */
+    public static final double REPORT_SOCKETS = 0.40;
+    /** Share kept for users: polls and submissions come on connections of their own. */
+    public static final double USER_SOCKETS = 0.15;
     /** Connections kept to one address at most; keeps sockets bounded. */
     public static final int CONNECTIONS_PER_ADDRESS = 6;
     /** Share of the sockets for connections that this node opened and keeps for later; workers and users need most of the rest. */
@@ -213,6 +264,23 @@
     /** Share of the report interval without any word after which a machine with services, or one that left a call unanswered, is asked:
      * what runs there should start elsewhere within seconds. */
     public static final double PROBE_SHARE = 1 / 3.0;
+    /** Milliseconds above which a machine's answer counts as slow: usual ones take tens. */
+    public static final long SLOW_CALL_MS = 400;
+    /** Milliseconds over which slow answers are counted. */
+    public static final long SLOW_STRETCH_MS = 1_000;
+    /** Slow answers from which on they may be this node's own doing, and the share of all answers that they must be: slow machines are few. */
+    public static final int SLOW_CALLS = 3;
+    public static final double SLOW_SHARE = 0.25;
+    /** Direct calls under way that are always allowed. */
+    public static final int DIRECT_LEAST = 8;
+    /** Milliseconds between two cuts of the number of calls under way: all that were slow together count once. */
+    public static final long PACE_MS = 500;
+    /** Share of the machines that may be returned as silent in a second, and the least number: a hundred of a thousand may die at once. */
+    public static final double RETURN_SHARE = 0.03;
+    public static final double RETURNS_LEAST = 4;
+    /** The same share in a term's first time: what is silent then may have a full queue, or a wrong address of the owner. */
+    public static final double RETURN_SHARE_EARLY = 0.01;
+    public static final long EARLY_MS = 15_000;
     /** Direct calls under way at most: bounds sockets and what the answers cost at once. */
     public static final int DIRECT_OPEN = 96;
     /** Those of them at most that go to machines which left one unanswered: hundreds may hang or be cut off, and the others need orders. */
--- a/src/main/java/org/hollypick/control/Progress.java
+++ b/src/main/java/org/hollypick/control/Progress.java
@@ -205,7 +205,7 @@
                     scheduler.ledger.progressCommitted(w.part.job);
                 });
             } else {
-                dirty.forEach(slot -> slot.doubtful |= r.status() != Reply.NOT_SENT);
+                dirty.forEach(slot -> slot.doubtful |= !r.neverSent());
                 included.forEach(w -> scheduler.progressDirty.add(w.part.job));
             }
         });
--- a/src/main/java/org/hollypick/control/Reach.java
+++ b/src/main/java/org/hollypick/control/Reach.java
@@ -14,6 +14,7 @@
 import org.hollypick.io.Answer;
 import org.hollypick.io.Call;
 import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
 
 /**
@@ -25,6 +26,8 @@
     private final Settings settings;
     private final Map<String, Machine> machines;
     private long askedAt;
+    /** When another controller last told what it reaches and what it doesn't. */
+    private long toldAt = -Constants.REACH_VALID_MS;
     private boolean asking;
 
     Reach(Runtime runtime, Settings settings, Map<String, Machine> machines) {
@@ -55,6 +58,10 @@
                 asking = --open[0] > 0;
                 if (r.ok() && r.body().path("reaches_state").asBoolean()) {
                     r.body().path("reached").forEach(id -> reached(id.asText()));
+                    if (r.body().has("failed")) {
+                        toldAt = runtime.now();
+                        r.body().path("failed").forEach(id -> failed(id.asText()));
+                    }
                 }
             });
         }
@@ -69,6 +76,23 @@
         }
     }
 
+    private void failed(String id) {
+        Machine m = machines.get(id);
+        if (m != null) {
+            m.elsewhereFailedAt = runtime.now();
+        }
+    }
+
+    /** Others told lately what they reach. */
+    boolean othersTell(long now) {
+        return now - toldAt < Constants.REACH_VALID_MS;
+    }
+
+    /** Another controller tried it in vain too, or there is none to ask. */
+    boolean nobodyReaches(Machine m, long now) {
+        return !othersTell(now) || m.elsewhereFailedAt > 0 && now - m.elsewhereFailedAt < Constants.REACH_VALID_MS;
+    }
+
     /** Another controller, which could lead, reached the machine a moment ago, and this one doesn't. */
     static boolean elsewhere(Machine m, long now) {
         return m.unanswered > 0 && m.elsewhereAt > 0 && now - m.elsewhereAt < Constants.REACH_VALID_MS;
@@ -94,6 +118,7 @@
     static void tryAll(Runtime runtime, JsonNode body, boolean reachesState, Consumer<Answer> answer) {
         ObjectNode told = Codec.object().put("reaches_state", reachesState);
         ArrayNode reached = told.putArray("reached");
+        ArrayNode failed = told.putArray("failed");
         List<Map.Entry<String, JsonNode>> asked = new ArrayList<>();
         body.path("machines").fields().forEachRemaining(f -> {
             if (f.getValue().isTextual() && f.getValue().asText().contains(":") && asked.size() < Constants.REACH_MACHINES) {
@@ -108,6 +133,8 @@
             runtime.call(Call.of(m.getValue().asText(), "GET", "/inspect", null, Constants.REACH_INSPECT_MS), r -> {
                 if (r.ok() && r.body().path("bothy").asText().equals(m.getKey())) {
                     reached.add(m.getKey());
+                } else if (r.status() != Reply.LACK) {
+                    failed.add(m.getKey());
                 }
                 if (--open[0] == 0) {
                     answer.accept(Answer.of(200, told));
--- /dev/null
+++ b/src/main/java/org/hollypick/control/Silence.java
@@ -0,0 +1,141 @@
+package org.hollypick.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.Scheduler;
+import org.hollypick.core.ledger.Machine;
+import org.hollypick.core.watch.OwnTrouble;
+import org.hollypick.io.RateBudget;
+import org.hollypick.io.Runtime;
+
+/** What the machines' silence means: which are lost, which zones are dark, and whether it is this owner that is cut off or overloaded. */
+final class Silence {
+    private final Settings settings;
+    private final Scheduler scheduler;
+    private final OwnTrouble own;
+    private final Reach reach;
+    private final Consumer<Machine> probe;
+    private final long startedAt;
+    private final RateBudget returns;
+    /** Since when nearly no machine has answered; 0 if some do. */
+    private long cutOffSince;
+    /** Until when silence counts for nothing, since most machines, or most of a zone, were silent together. */
+    private long troubleUntil;
+    private Set<String> dark = Set.of();
+    private String seen = "";
+
+    /** {@code probe}: asks a machine directly. */
+    Silence(Runtime runtime, Settings settings, Scheduler scheduler, OwnTrouble own, Consumer<Machine> probe) {
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.own = own;
+        this.reach = new Reach(runtime, settings, scheduler.machines);
+        this.probe = probe;
+        this.startedAt = runtime.now();
+        this.returns = new RateBudget(0, startedAt);
+    }
+
+    /** Asks machines that are quieter than their reports allow, and tells which are lost. */
+    List<Machine> look(long now) {
+        if (now - startedAt < Constants.SILENT_GRACE_MS) {
+            return List.of();
+        }
+        // Machines report within a quarter more than the interval. Only the loss of services is worth asking more often.
+        long usual = (long) (settings.reportS() * 1_250) + Constants.PROBE_SLACK_MS;
+        long early = (long) (settings.reportS() * 1_000 * Constants.PROBE_SHARE);
+        List<Machine> silent = new ArrayList<>();
+        List<Machine> unsure = new ArrayList<>();
+        int talking = 0;
+        int doubtful = 0;
+        Map<String, int[]> byZone = new HashMap<>();
+        for (Machine m : scheduler.machines.values()) {
+            if (m.returning || !m.up && !m.registered) {
+                continue;
+            }
+            long quiet = now - m.lastReportAt;
+            int[] zone = byZone.computeIfAbsent(m.zone, z -> new int[2]);
+            if (quiet < Constants.TALKING_MS) {
+                talking++;
+                zone[0]++;
+            }
+            if (m.unanswered > 0) {
+                doubtful++;
+                zone[1]++;
+            }
+            if (m.unanswered > 0 && !m.addr.isEmpty()) {
+                unsure.add(m);
+            }
+            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED && !Reach.spared(m, now)) {
+                if (reach.nobodyReaches(m, now)) {
+                    silent.add(m);
+                }
+            } else if (quiet > (m.unanswered > 0 || m.serviceCpus() > 0 ? early : usual)) {
+                probe.accept(m);
+            }
+        }
+        reach.ask(unsure);
+        seen = "talking=" + talking + " doubtful=" + doubtful + " elsewhere=" + Reach.beyond(scheduler.machines.values(), now);
+        // Those that left a question open against those heard of just now: counting only the silent ones would give them up one by one
+        // while this node is cut off from all of them.
+        double share = doubtful / (double) Math.max(1, doubtful + talking);
+        dark = byZone.entrySet().stream().filter(e -> dark(e.getValue()[0], e.getValue()[1])).map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
+        if (doubtful > 2 && share > Constants.SILENT_SHARE || !dark.isEmpty()) {
+            troubleUntil = now + Constants.TROUBLE_OVER_MS;
+        }
+        if (doubtful <= 2 || share < Constants.CUT_OFF_SHARE) {
+            cutOffSince = 0;
+        } else if (cutOffSince == 0) {
+            cutOffSince = now;
+        }
+        return own.sound(now) && now >= troubleUntil ? bounded(silent, now) : List.of();
+    }
+
+    /** At most so many a second: what an owner takes for lost it may be wrong about, the more so after a takeover. */
+    private List<Machine> bounded(List<Machine> silent, long now) {
+        double share = now - startedAt < Constants.EARLY_MS ? Constants.RETURN_SHARE_EARLY : Constants.RETURN_SHARE;
+        returns.setRate(Math.max(Constants.RETURNS_LEAST, share * scheduler.machines.size()));
+        List<Machine> some = new ArrayList<>();
+        for (Machine m : silent) {
+            if (!returns.has(1, now)) {
+                break;
+            }
+            returns.take(1, now);
+            some.add(m);
+        }
+        return some;
+    }
+
+    private static boolean dark(int talking, int doubtful) {
+        return doubtful >= Constants.DARK_MACHINES && doubtful >= Constants.CUT_OFF_SHARE * (doubtful + talking);
+    }
+
+    /** What the last look found, for the log. */
+    String seen() {
+        return seen;
+    }
+
+    /** Zones that seem to be cut off: what is rented there can't be reached. */
+    Set<String> dark() {
+        return dark;
+    }
+
+    /**
+     * Another controller should lead: it reaches machines that this one doesn't, and not since this one is overloaded or has only begun. If the others
+     * see the same, nobody would fare better.
+     */
+    boolean cutOff(long now) {
+        if (!own.sound(now) || now - startedAt < Constants.TERM_LEAST_MS) {
+            return false;
+        }
+        int beyond = Reach.beyond(scheduler.machines.values(), now);
+        boolean nearlyAll = cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS;
+        return beyond >= Constants.REACH_AT_FAULT || nearlyAll && (beyond > 0 || !reach.othersTell(now));
+    }
+}
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -26,6 +26,7 @@
 import org.hollypick.core.graph.Graph;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Report;
+import org.hollypick.core.watch.OwnTrouble;
 import org.hollypick.io.Answer;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Runtime;
@@ -58,6 +59,7 @@
     private final BooleanSupplier entitled;
     private final Runnable fence;
     private final Map<String, MachineType> types;
+    private final BooleanSupplier mayResign;
     private final Runnable resign;
     private final Sizes sizes;
     private final Summary summary;
@@ -70,7 +72,7 @@
     private boolean ended;
     private boolean pumping;
     private long lastTick;
-    private long smoothSince;
+    private final OwnTrouble own;
     private long nextFleet;
     private long nextPass;
     private long nextList;
@@ -79,7 +81,7 @@
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
             CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, BooleanSupplier reachesState, Runnable fence,
-            Runnable resign, boolean nobodyBefore, Graphs.Maker maker) {
+            BooleanSupplier mayResign, Runnable resign, boolean nobodyBefore, Graphs.Maker maker) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
@@ -89,12 +91,13 @@
         this.types = types;
         this.entitled = entitled;
         this.fence = fence;
+        this.mayResign = mayResign;
         this.resign = resign;
         this.lastTick = runtime.now() - Constants.TICK_MS;
-        this.smoothSince = runtime.now();
+        this.own = new OwnTrouble(runtime.now());
         this.scheduler = new Scheduler(baton, settings, operator.firstShare(),
                 new Leases(settings, settings.siblings().stream().map(Settings.Sibling::node).toList(), runtime.now(), nobodyBefore), operator.estimates());
-        this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, this::pump);
+        this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, own, this::pump);
         this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, reachesState, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
         this.progress = new Progress(runtime, view, state, settings, scheduler);
@@ -149,9 +152,9 @@
         m.lastReportAt = runtime.now();
     }
 
-    /** A worker's report, while this node may act. */
-    public Answer hello(Report r) {
-        return workers.hello(r);
+    /** A worker's report, through that controller, while this node may act. */
+    public Answer hello(Report r, String via) {
+        return workers.hello(r, via);
     }
 
     /** Whether this node may act for this term now. */
@@ -262,14 +265,14 @@
         long now = runtime.now();
         summary.ran(now - lastTick);
         if (now - lastTick > 4 * Constants.TICK_MS) {
-            smoothSince = now; // this node itself was held up, so silence proves nothing yet
+            own.seen(now); // this node itself was held up, so silence proves nothing yet
         }
         lastTick = now;
         if (acting()) {
             scheduler.tick(now);
             scheduler.passWanted |= now >= nextPass;
-            rentals.giveBack(workers.silent(now, smoothSince), "silent");
-            if (workers.cutOff(now)) {
+            rentals.giveBack(workers.silent(now), "silent");
+            if (workers.cutOff(now) && mayResign.getAsBoolean()) {
                 LOG.info("cut off from the machines, resigning baton={} {}", baton, workers.seen());
                 resign.run();
             }
@@ -295,7 +298,7 @@
             }
             pump();
         } else {
-            smoothSince = now;
+            own.seen(now);
         }
         runtime.after(Constants.TICK_MS, this::loop);
     }
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -1,13 +1,11 @@
 package org.hollypick.control;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.core.MachineType;
@@ -15,9 +13,12 @@
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Order;
 import org.hollypick.core.ledger.Report;
+import org.hollypick.core.watch.OwnTrouble;
+import org.hollypick.core.watch.Pace;
 import org.hollypick.io.Answer;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
+import org.hollypick.relay.RelayCodec;
 import org.hollypick.worker.WorkerClient;
 import org.hollypick.worker.WorkerCodec;
 import org.slf4j.Logger;
@@ -34,22 +35,16 @@
     private final Map<String, MachineType> types;
     private final BooleanSupplier acting;
     private final Runnable pump;
-    private final long startedAt;
-    private final Reach reach;
+    private final OwnTrouble own;
+    private final Pace pace = new Pace();
+    private final Silence silence;
     /** Direct calls under way. */
     private int open;
-    /** Since when nearly no machine has answered; 0 if some do. */
-    private long cutOffSince;
-    /** Until when silence counts for nothing, since most machines, or most of a zone, were silent together. */
-    private long troubleUntil;
-    /** Zones nearly all of whose machines leave questions open. */
-    private Set<String> dark = Set.of();
-    private String seen = "";
     /** Direct calls under way to machines that left one unanswered. */
     private int openDoubtful;
 
     Workers(Runtime runtime, Settings settings, Scheduler scheduler, WorkerClient client, Map<String, MachineType> types,
-            BooleanSupplier acting, Runnable pump) {
+            BooleanSupplier acting, OwnTrouble own, Runnable pump) {
         this.runtime = runtime;
         this.settings = settings;
         this.scheduler = scheduler;
@@ -57,12 +52,12 @@
         this.types = types;
         this.acting = acting;
         this.pump = pump;
-        this.startedAt = runtime.now();
-        this.reach = new Reach(runtime, settings, scheduler.machines);
+        this.own = own;
+        this.silence = new Silence(runtime, settings, scheduler, own, this::probe);
     }
 
-    /** A worker's report, while this node may act. */
-    Answer hello(Report r) {
+    /** A worker's report, which came through that controller, while this node may act. */
+    Answer hello(Report r, String via) {
         long now = runtime.now();
         if (Long.compareUnsigned(r.baton(), scheduler.baton) > 0 || scheduler.gone.contains(r.machine())) {
             return Answer.later("not for this node");
@@ -83,11 +78,16 @@
         if (!was) {
             LOG.info("machine up machine={} tenure={} tasks={}", m.id, r.tenure(), r.tasks().size());
         }
-        m.answeredAt = now;
+        scheduler.shares.reported(m.id, via, now);
         if (scheduler.freed.remove(m)) {
             scheduler.fill(m, now);
         }
         List<Order> orders = limited(scheduler.ledger.orders(m));
+        String elsewhere = orders.isEmpty() && m.heard ? scheduler.shares.elsewhere(via, now) : null;
+        if (elsewhere != null) {
+            return RelayCodec.elsewhere(elsewhere);
+        }
+        m.answeredAt = now;
         scheduler.ledger.sentInAnswer(m, orders);
         if (m.heard) {
             scheduler.ordersDirty.remove(m);
@@ -117,7 +117,7 @@
     private void send(Set<Machine> dirty) {
         Iterator<Machine> i = dirty.iterator();
         List<Machine> now = new ArrayList<>();
-        while (i.hasNext() && open + now.size() < Constants.DIRECT_OPEN) {
+        while (i.hasNext() && open + now.size() < pace.window()) {
             now.add(i.next());
             i.remove();
         }
@@ -141,10 +141,18 @@
         long tenure = m.up ? m.tenure : 1;
         scheduler.ledger.sentDirect(m, orders);
         open++;
+        long asked = runtime.now();
         openDoubtful += doubtful ? 1 : 0;
         client.command(m.addr, scheduler.baton, tenure, orders, acting, r -> {
             open--;
             openDoubtful -= doubtful ? 1 : 0;
+            long now = runtime.now();
+            if (r.status() == Reply.LACK) {
+                own.seen(now);
+            } else if (r.status() > 0 && !doubtful) {
+                own.answered(now - asked, now);
+                pace.answered(now - asked, now);
+            }
             answered(m, orders, tenure, r);
             contactUnheard();
             if (!scheduler.ordersUrgent.isEmpty() || !scheduler.ordersDirty.isEmpty() || !scheduler.freed.isEmpty()) {
@@ -154,10 +162,10 @@
     }
 
     private void answered(Machine m, List<Order> orders, long tenure, Reply r) {
-        boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.status() == Reply.NOT_SENT;
+        boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.neverSent();
         scheduler.ledger.directEnded(m, orders, tenure, settled);
         if (r.status() != 200 && r.status() != 409) {
-            m.unanswered++;
+            m.unanswered += r.status() == Reply.LACK ? 0 : 1;
             m.directAfter = runtime.now() + Constants.DIRECT_PAUSE_MS;
             LOG.debug("order unanswered machine={} status={}", m.id, r.status());
             return;
@@ -172,90 +180,39 @@
         }
     }
 
+    private void probe(Machine m) {
+        if (open < pace.window()) {
+            direct(m, true);
+        }
+    }
+
     /** After a takeover nothing tells more quickly what is where than asking every registered machine, some at a time. */
     void contactUnheard() {
         if (scheduler.settled()) {
             return;
         }
         for (Machine m : scheduler.machines.values()) {
-            if (!m.heard && open < Constants.DIRECT_OPEN) {
-                direct(m, true);
+            if (!m.heard) {
+                probe(m);
             }
         }
     }
 
-    /**
-     * Asks machines that are quieter than their reports allow, and returns those that leave questions unanswered.
-     * {@code smoothSince}: since when this node itself has run without being held up.
-     */
-    List<Machine> silent(long now, long smoothSince) {
-        if (now - startedAt < Constants.SILENT_GRACE_MS || now - smoothSince < Constants.SILENT_GRACE_MS) {
-            return List.of();
-        }
-        // Machines report within a quarter more than the interval. Only the loss of services is worth asking more often.
-        long usual = (long) (settings.reportS() * 1_250) + Constants.PROBE_SLACK_MS;
-        long early = (long) (settings.reportS() * 1_000 * Constants.PROBE_SHARE);
-        List<Machine> silent = new ArrayList<>();
-        List<Machine> unsure = new ArrayList<>();
-        int talking = 0;
-        int doubtful = 0;
-        Map<String, int[]> byZone = new HashMap<>();
-        for (Machine m : scheduler.machines.values()) {
-            if (m.returning || !m.up && !m.registered) {
-                continue;
-            }
-            long quiet = now - m.lastReportAt;
-            int[] zone = byZone.computeIfAbsent(m.zone, z -> new int[2]);
-            if (quiet < Constants.TALKING_MS) {
-                talking++;
-                zone[0]++;
-            }
-            if (m.unanswered > 0) {
-                doubtful++;
-                zone[1]++;
-            }
-            if (m.unanswered > 0 && !m.addr.isEmpty()) {
-                unsure.add(m);
-            }
-            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED && !Reach.spared(m, now)) {
-                silent.add(m);
-            } else if (quiet > (m.unanswered > 0 || m.serviceCpus() > 0 ? early : usual) && open < Constants.DIRECT_OPEN) {
-                direct(m, true);
-            }
-        }
-        reach.ask(unsure);
-        seen = "talking=" + talking + " doubtful=" + doubtful + " elsewhere=" + Reach.beyond(scheduler.machines.values(), now);
-        // Those that left a question open against those heard of just now: counting only the silent ones would give them up one by one
-        // while this node is cut off from all of them.
-        double share = doubtful / (double) Math.max(1, doubtful + talking);
-        dark = byZone.entrySet().stream().filter(e -> dark(e.getValue()[0], e.getValue()[1])).map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
-        if (doubtful > 2 && share > Constants.SILENT_SHARE || !dark.isEmpty()) {
-            troubleUntil = now + Constants.TROUBLE_OVER_MS;
-        }
-        if (doubtful <= 2 || share < Constants.CUT_OFF_SHARE) {
-            cutOffSince = 0;
-        } else if (cutOffSince == 0) {
-            cutOffSince = now;
-        }
-        return now < troubleUntil ? List.of() : silent;
-    }
-
-    private static boolean dark(int talking, int doubtful) {
-        return doubtful >= Constants.DARK_MACHINES && doubtful >= Constants.CUT_OFF_SHARE * (doubtful + talking);
+    /** Machines that are lost, as far as this owner can tell. */
+    List<Machine> silent(long now) {
+        return silence.look(now);
     }
 
-    /** What the last look found, for the log. */
+    /** What the last look at silent machines found, for the log. */
     String seen() {
-        return seen;
+        return silence.seen();
     }
 
-    /** Zones that seem to be cut off: what is rented there can't be reached. */
     Set<String> dark() {
-        return dark;
+        return silence.dark();
     }
 
-    /** Another controller should lead: nearly all machines have been silent for long, or others reach those that are. */
     boolean cutOff(long now) {
-        return cutOffSince > 0 && now - cutOffSince > Constants.CUT_OFF_MS || Reach.beyond(scheduler.machines.values(), now) >= Constants.REACH_AT_FAULT;
+        return silence.cutOff(now);
     }
 }
--- a/src/main/java/org/hollypick/core/Leases.java
+++ b/src/main/java/org/hollypick/core/Leases.java
@@ -51,6 +51,11 @@
         }
     }
 
+    /** When this term began. */
+    long termStart() {
+        return termStart;
+    }
+
     /**
      * For how long leases may be kept, in milliseconds; 0 if not at all. A cancellation that the keeper doesn't know of was told after the
      * grant, so whatever it keeps has to be gone, its lease included, within the time that a cancelled task has.
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -11,6 +11,7 @@
 import org.hollypick.core.estimate.Estimates;
 import org.hollypick.core.ledger.Machine;
 import org.hollypick.core.ledger.Placement;
+import org.hollypick.core.spread.Shares;
 
 /**
  * What one owner knows during one term, and what it decides. Pure: time comes in with each event, effects are left in the
@@ -23,6 +24,8 @@
     private final Planner planner;
     private final TeamUse teamUse = new TeamUse();
     public final Estimates estimates;
+    /** Which controller each machine reports to. */
+    public final Shares shares;
     public final Ledger ledger;
     private boolean settled;
     long lastNow;
@@ -58,6 +61,7 @@
         this.estimates = new Estimates(learns);
         this.baton = baton;
         this.settings = settings;
+        this.shares = new Shares(settings.node(), leases.termStart());
         this.leases = leases;
         this.ledger = new Ledger(this, teamUse);
         this.planner = new Planner(this, firstShare);
@@ -182,6 +186,7 @@
     public void machineGone(String id) {
         Machine m = machines.remove(id);
         gone.add(id);
+        shares.gone(id);
         if (m != null) {
             ledger.loseAll(m);
             ordersDirty.remove(m);
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -46,6 +46,8 @@
     public long elsewhereAt;
     public long elsewhereSince;
     public long elsewhereAskedAt;
+    /** When another controller last tried it in vain. */
+    public long elsewhereFailedAt;
     /** More than is needed: arrays go elsewhere while they can. */
     public boolean surplus;
     /** Its replicas move elsewhere, so that it can be returned; it gets nothing new. */
--- /dev/null
+++ b/src/main/java/org/hollypick/core/watch/OwnTrouble.java
@@ -0,0 +1,45 @@
+package org.hollypick.core.watch;
+
+import org.hollypick.config.Constants;
+
+/**
+ * Whether this owner's own state may explain that it hears nothing. What it didn't get to ask, and what it was too busy to read, proves nothing about
+ * a machine or a path (docs/many-machines.md). Pure.
+ */
+public final class OwnTrouble {
+    private long at;
+    /** Answers in the present stretch of time, and those of them that took long. */
+    private long stretch;
+    private int answered;
+    private int slow;
+
+    /** It isn't known to be well before it has been watched for a while. */
+    public OwnTrouble(long now) {
+        at = now;
+        stretch = now;
+    }
+
+    /** The loop stood still, the right to act was away, or a call wasn't sent for want of something here. */
+    public void seen(long now) {
+        at = now;
+    }
+
+    /** A machine answered a call after that long. */
+    public void answered(long tookMs, long now) {
+        if (now - stretch >= Constants.SLOW_STRETCH_MS) {
+            stretch = now;
+            answered = 0;
+            slow = 0;
+        }
+        answered++;
+        slow += tookMs > Constants.SLOW_CALL_MS ? 1 : 0;
+        if (slow >= Constants.SLOW_CALLS && slow > answered * Constants.SLOW_SHARE) {
+            at = now;
+        }
+    }
+
+    /** Nothing was wrong here for long enough that two questions to a machine would have been asked and answered. */
+    public boolean sound(long now) {
+        return now - at >= Constants.SILENT_GRACE_MS;
+    }
+}
--- a/src/main/java/org/hollypick/io/HttpServer.java
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -6,6 +6,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
@@ -19,6 +20,9 @@
 public final class HttpServer {
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
+    /** What a connection is for, by its first request. */
+    private static final AttachmentKey<Sockets.Kind> KIND = AttachmentKey.create(Sockets.Kind.class);
+
     /** What answers a request; it may answer later, but always on the event loop. */
     public interface Service {
         void handle(String method, String target, byte[] body, Consumer<Answer> answer);
@@ -26,7 +30,8 @@
 
     private HttpServer() {}
 
-    public static Undertow start(XnioWorker worker, ByteBufferPool buffers, String publicAddr, Service users, String meshAddr, Service mesh) {
+    public static Undertow start(XnioWorker worker, ByteBufferPool buffers, Sockets sockets, String publicAddr, Service users, String meshAddr,
+            Service mesh) {
         HostAndPort open = HostAndPort.fromString(publicAddr);
         HostAndPort inner = HostAndPort.fromString(meshAddr);
         Undertow server = Undertow.builder()
@@ -37,39 +42,55 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ENABLE_CONNECTOR_STATISTICS, false)
-                .addHttpListener(open.getPort(), open.getHost(), handler(users, false))
-                .addHttpListener(inner.getPort(), inner.getHost(), handler(mesh, true))
+                .addHttpListener(open.getPort(), open.getHost(), handler(users, sockets, false))
+                .addHttpListener(inner.getPort(), inner.getHost(), handler(mesh, sockets, true))
                 .build();
         server.start();
         return server;
     }
 
-    private static HttpHandler handler(Service service, boolean json) {
-        return exchange -> exchange.getRequestReceiver().receiveFullBytes(
-                (x, body) -> x.dispatch(SameThreadExecutor.INSTANCE, () -> serve(service, x, body, json)),
-                (x, e) -> {
-                    LOG.debug("request not received path={} reason={}", x.getRequestPath(), e.toString());
-                    x.setStatusCode(400);
-                    x.setPersistent(false);
-                    x.endExchange();
-                });
+    private static HttpHandler handler(Service service, Sockets sockets, boolean json) {
+        return exchange -> {
+            count(exchange, sockets, json);
+            exchange.getRequestReceiver().receiveFullBytes(
+                    (x, body) -> x.dispatch(SameThreadExecutor.INSTANCE, () -> serve(service, x, body, sockets, json)),
+                    (x, e) -> {
+                        LOG.debug("request not received path={} reason={}", x.getRequestPath(), e.toString());
+                        x.setStatusCode(400);
+                        x.setPersistent(false);
+                        x.endExchange();
+                    });
+        };
     }
 
-    private static void serve(Service service, HttpServerExchange x, byte[] body, boolean json) {
+    private static void count(HttpServerExchange x, Sockets sockets, boolean json) {
+        if (x.getConnection().getAttachment(KIND) == null) {
+            Sockets.Kind kind = json || x.getRequestPath().equals("/ready") ? Sockets.Kind.CONTROL
+                    : x.getRequestPath().equals("/hello") ? Sockets.Kind.REPORTS : Sockets.Kind.USERS;
+            x.getConnection().putAttachment(KIND, kind);
+            sockets.opened(kind);
+            x.getConnection().addCloseListener(c -> sockets.closed(kind));
+        }
+    }
+
+    private static void serve(Service service, HttpServerExchange x, byte[] body, Sockets sockets, boolean json) {
         try {
             String query = x.getQueryString();
             String target = query.isEmpty() ? x.getRequestPath() : x.getRequestPath() + "?" + query;
-            service.handle(x.getRequestMethod().toString(), target, body, a -> send(x, a, json));
+            service.handle(x.getRequestMethod().toString(), target, body, a -> send(x, a, sockets, json));
         } catch (RuntimeException e) {
             LOG.error("request failed path=" + x.getRequestPath(), e);
-            send(x, Answer.later("internal"), json);
+            send(x, Answer.later("internal"), sockets, json);
         }
     }
 
-    private static void send(HttpServerExchange x, Answer decided, boolean json) {
+    private static void send(HttpServerExchange x, Answer decided, Sockets sockets, boolean json) {
         if (x.isResponseStarted()) {
             return;
         }
+        if (sockets.crowded(x.getConnection().getAttachment(KIND))) {
+            x.setPersistent(false); // the other side connects again when it has something to say
+        }
         Answer a = decided.now();
         x.setStatusCode(a.status());
         x.getResponseHeaders().put(Headers.CONTENT_TYPE, json ? "application/json" : "application/cbor");
--- a/src/main/java/org/hollypick/io/Network.java
+++ b/src/main/java/org/hollypick/io/Network.java
@@ -12,12 +12,15 @@
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hollypick.config.Constants;
@@ -25,8 +28,10 @@
 import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -39,15 +44,54 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final Map<String, Pool> pools = new HashMap<>();
+    private final Sockets sockets;
+    private final Set<String> control;
     private final int idleMax;
+    private final Connecting connecting;
+    private boolean told;
     /** All connections that wait for their next use, the one unused for longest first. */
     private final Map<ClientConnection, Pool> idle = new LinkedHashMap<>();
 
-    /** {@code idleMax}: connections kept open for later use, to all addresses together. */
-    public Network(XnioIoThread thread, ByteBufferPool buffers, int idleMax) {
+    /** {@code control}: addresses of the services that this node can't do without; {@code idleMax}: connections kept open for later use. */
+    public Network(XnioIoThread thread, ByteBufferPool buffers, Sockets sockets, Set<String> control, int idleMax) {
         this.thread = thread;
         this.buffers = buffers;
+        this.sockets = sockets;
+        this.control = control;
         this.idleMax = idleMax;
+        this.connecting = new Connecting(thread);
+    }
+
+    /** The thread that connections are made on, as Undertow's client asks for one: it remembers the attempt, so that it can be given up. */
+    private static final class Connecting extends XnioIoThread {
+        private final XnioIoThread thread;
+        private IoFuture<StreamConnection> attempt;
+
+        Connecting(XnioIoThread thread) {
+            super(thread.getWorker(), thread.getNumber());
+            this.thread = thread;
+        }
+
+        @Override
+        public IoFuture<StreamConnection> openStreamConnection(SocketAddress to, ChannelListener<? super StreamConnection> opened, OptionMap options) {
+            attempt = thread.openStreamConnection(to, opened, options);
+            return attempt;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            thread.execute(task);
+        }
+
+        @Override
+        public Key executeAfter(Runnable task, long time, TimeUnit unit) {
+            return thread.executeAfter(task, time, unit);
+        }
+
+        @Override
+        public Key executeAtInterval(Runnable task, long time, TimeUnit unit) {
+            return thread.executeAtInterval(task, time, unit);
+        }
     }
 
     @Override
@@ -55,6 +99,11 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    @Override
+    public long timeOfDay() {
+        return System.currentTimeMillis();
+    }
+
     @Override
     public void after(long ms, Runnable task) {
         thread.executeAfter(guarded(task), Math.max(0, ms), TimeUnit.MILLISECONDS);
@@ -106,6 +155,7 @@
             busy++;
             x.running = true;
             ClientConnection c;
+            x.kind = x.call.mesh() || control.contains(x.call.address()) ? Sockets.Kind.CONTROL : Sockets.Kind.ORDERS;
             while ((c = free.pollLast()) != null) {
                 idle.remove(c);
                 if (c.isOpen()) {
@@ -114,7 +164,14 @@
                 }
                 IoUtils.safeClose(c);
             }
-            x.connect();
+            if (!sockets.room(x.kind)) {
+                dropEldest(idle.size() - 1);
+            }
+            if (sockets.room(x.kind) || x.kind == Sockets.Kind.CONTROL) {
+                x.connect();
+            } else {
+                x.lack("no socket left");
+            }
         }
 
         void release(ClientConnection reusable) {
@@ -122,7 +179,7 @@
             if (reusable != null && reusable.isOpen()) {
                 free.add(reusable);
                 idle.put(reusable, this);
-                dropEldest();
+                dropEldest(idleMax);
             }
             Exchange next;
             while (busy < Constants.CONNECTIONS_PER_ADDRESS && (next = waiting.poll()) != null) {
@@ -141,8 +198,9 @@
         }
     }
 
-    private void dropEldest() {
-        while (idle.size() > idleMax) {
+    /** Closes the connections unused for longest, until few enough are left. */
+    private void dropEldest(int keep) {
+        while (!idle.isEmpty() && idle.size() > keep) {
             Map.Entry<ClientConnection, Pool> eldest = idle.entrySet().iterator().next();
             ClientConnection c = eldest.getKey();
             Pool pool = eldest.getValue();
@@ -160,6 +218,9 @@
         private Pool pool;
         private XnioExecutor.Key timer;
         private ClientConnection connection;
+        private Sockets.Kind kind;
+        private IoFuture<StreamConnection> attempt;
+        private boolean late;
         private boolean running;
         private boolean sent;
         private boolean finished;
@@ -169,12 +230,29 @@
             this.reply = reply;
         }
 
+        /** The time is over. If this process was held up, what came in meanwhile is read before that counts. */
         void expire() {
-            end(sent ? Reply.noAnswer() : Reply.notSent(), false);
+            if (!running) {
+                lack("waited for other calls to " + call.address());
+            } else if (!late) {
+                late = true;
+                timer = thread.executeAfter(guarded(this::expire), Constants.LAST_LOOK_MS, TimeUnit.MILLISECONDS);
+            } else {
+                fail();
+            }
         }
 
         void fail() {
-            expire();
+            end(sent ? Reply.noAnswer() : Reply.notSent(), false);
+        }
+
+        /** Not sent for want of something here. */
+        void lack(String what) {
+            if (!told) {
+                told = true;
+                LOG.info("calls not sent first={} sockets={}", what, sockets);
+            }
+            end(Reply.lack(), false);
         }
 
         void finish(Reply r) {
@@ -190,6 +268,9 @@
             if (!reusable && connection != null) {
                 IoUtils.safeClose(connection);
             }
+            if (attempt != null && connection == null) {
+                attempt.cancel(); // one into the dark would hold its socket for minutes
+            }
             if (running) {
                 pool.release(reusable ? connection : null);
             }
@@ -198,9 +279,19 @@
         }
 
         void connect() {
+            sockets.opened(kind);
+            boolean[] counted = {true};
+            Runnable uncount = () -> {
+                if (counted[0]) {
+                    counted[0] = false;
+                    sockets.closed(kind);
+                }
+            };
+            connecting.attempt = null;
             UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
                 @Override
                 public void completed(ClientConnection c) {
+                    c.addCloseListener(closed -> uncount.run());
                     if (finished) {
                         IoUtils.safeClose(c);
                     } else {
@@ -210,9 +301,24 @@
 
                 @Override
                 public void failed(IOException e) {
-                    fail();
+                    uncount.run();
+                    if (e instanceof ConnectException || finished) {
+                        fail();
+                    } else {
+                        lack(e.toString()); // the other side can only refuse; anything else is this system's own word
+                    }
+                }
+            }, URI.create("http://" + call.address()), connecting, buffers, OptionMap.EMPTY);
+            attempt = connecting.attempt;
+            if (attempt == null) {
+                uncount.run();
+                return; // it failed at once
+            }
+            attempt.addNotifier((f, none) -> {
+                if (f.getStatus() == IoFuture.Status.CANCELLED) {
+                    uncount.run();
                 }
-            }, URI.create("http://" + call.address()), thread, buffers, OptionMap.EMPTY);
+            }, null);
         }
 
         void send(ClientConnection c) {
--- a/src/main/java/org/hollypick/io/Reply.java
+++ b/src/main/java/org/hollypick/io/Reply.java
@@ -8,6 +8,12 @@
     /** Never sent: no connection could be made, and a given-up connection attempt doesn't complete later. */
     public static final int NOT_SENT = -1;
     public static final int NO_ANSWER = 0;
+    /** Never sent, and for a reason of this node's own: no socket left, or its turn didn't come. It says nothing about the other side. */
+    public static final int LACK = -2;
+
+    public static Reply lack() {
+        return new Reply(LACK, MissingNode.getInstance());
+    }
 
     public static Reply notSent() {
         return new Reply(NOT_SENT, MissingNode.getInstance());
@@ -17,6 +23,11 @@
         return new Reply(NO_ANSWER, MissingNode.getInstance());
     }
 
+    /** Certainly never sent, so it can't be executed late. */
+    public boolean neverSent() {
+        return status < 0;
+    }
+
     public boolean ok() {
         return status == 200;
     }
--- a/src/main/java/org/hollypick/io/Runtime.java
+++ b/src/main/java/org/hollypick/io/Runtime.java
@@ -7,6 +7,9 @@
     /** The steady clock, in milliseconds. */
     long now();
 
+    /** The time of day, in milliseconds, within some tens of milliseconds of other nodes'. */
+    long timeOfDay();
+
     /** Runs on the event loop after a while. */
     void after(long ms, Runnable task);
 
--- /dev/null
+++ b/src/main/java/org/hollypick/relay/Relay.java
@@ -0,0 +1,167 @@
+package org.hollypick.relay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.hollypick.cluster.Keeper;
+import org.hollypick.cluster.Membership;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.ledger.Report;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.worker.WorkerCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Hands machines' reports on to the owner, many in one call, and its answers back to the machines. It decides nothing: to a machine it is a longer path
+ * to the owner (docs/safety.md, "Relayed reports"). While there is no owner it holds reports for a moment, so that machines needn't look for one.
+ */
+public final class Relay {
+    private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final Membership membership;
+    private final Keeper keeper;
+    private final Function<byte[], Answer> own;
+    private final ArrayDeque<Held> held = new ArrayDeque<>();
+    private int heldBytes;
+    private int open;
+    private boolean due;
+    private long notBefore;
+    private int failures;
+    /** Under this baton the owner is of a version that takes no bundles. */
+    private long refusedBaton;
+
+    private record Held(byte[] report, long until, Consumer<Answer> answer) {}
+
+    /** {@code own}: the answer of this node itself while it is the owner, else null. */
+    public Relay(Runtime runtime, Settings settings, Membership membership, Keeper keeper, Function<byte[], Answer> own) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.membership = membership;
+        this.keeper = keeper;
+        this.own = own;
+    }
+
+    /** A machine's report; the answer follows within the time that the machine waits. */
+    public void hello(byte[] report, Consumer<Answer> answer) {
+        Answer now = here(report);
+        if (now != null) {
+            answer.accept(now);
+        } else if (report.length > Constants.RELAY_BYTES || refusedBaton != 0 && refusedBaton == membership.rosterStamp()) {
+            answer.accept(toOwner());
+        } else if (held.size() >= Constants.RELAY_HELD || heldBytes + report.length > Constants.RELAY_HELD_BYTES) {
+            answer.accept(Answer.later("too many reports wait"));
+        } else {
+            hold(new Held(report, runtime.now() + Constants.RELAY_HOLD_MS, answer));
+            flushSoon(Constants.RELAY_GATHER_MS);
+        }
+    }
+
+    /** The answer that this node can give by itself, as owner or since it keeps leases; null if there is none. */
+    private Answer here(byte[] report) {
+        Answer now = own.apply(report);
+        if (now == null && keeper.keeping()) {
+            Report read = WorkerCodec.report(report);
+            now = read == null ? Answer.error(400, "not a report") : keeper.answer(read);
+        }
+        return now;
+    }
+
+    private void hold(Held h) {
+        held.add(h);
+        heldBytes += h.report.length;
+    }
+
+    private Held next() {
+        Held h = held.poll();
+        heldBytes -= h.report.length;
+        return h;
+    }
+
+    private void flushSoon(long ms) {
+        if (!due) {
+            due = true;
+            runtime.after(ms, () -> {
+                due = false;
+                flush();
+            });
+        }
+    }
+
+    private void flush() {
+        long now = runtime.now();
+        int count = held.size();
+        for (int i = 0; i < count; i++) {
+            Held h = next();
+            Answer a = here(h.report);
+            if (a != null) {
+                h.answer.accept(a);
+            } else if (now >= h.until) {
+                h.answer.accept(Answer.later("no owner"));
+            } else {
+                hold(h);
+            }
+        }
+        String owner = membership.leaderIsThere() ? settings.meshAddr(membership.leader()) : null;
+        while (owner != null && now >= notBefore && open < Constants.RELAY_OPEN && !held.isEmpty()) {
+            send(owner, now);
+        }
+        if (!held.isEmpty()) {
+            flushSoon(Constants.RELAY_RETRY_MS);
+        }
+    }
+
+    private void send(String owner, long now) {
+        long baton = membership.rosterStamp();
+        List<Held> bundle = new ArrayList<>();
+        List<byte[]> reports = new ArrayList<>();
+        int bytes = 0;
+        while (!held.isEmpty() && bundle.size() < Constants.RELAY_REPORTS && bytes + held.peek().report.length <= Constants.RELAY_BYTES) {
+            Held h = next();
+            bundle.add(h);
+            reports.add(h.report);
+            bytes += h.report.length;
+        }
+        open++;
+        runtime.call(new Call(owner, "POST", RelayCodec.PATH, RelayCodec.bundle(settings.node(), baton, reports), Constants.RELAY_TIMEOUT_MS, true), r -> {
+            open--;
+            answered(bundle, baton, now, r);
+            if (!held.isEmpty()) {
+                flushSoon(0);
+            }
+        });
+    }
+
+    private void answered(List<Held> bundle, long baton, long sent, Reply r) {
+        List<Answer> answers = r.ok() ? RelayCodec.answers(r.body()) : List.of();
+        if (r.ok() && answers.size() == bundle.size()) {
+            failures = 0;
+            long until = sent + Membership.certainly(RelayCodec.rightMs(r.body())); // the owner counted it from later on
+            for (int i = 0; i < answers.size(); i++) {
+                bundle.get(i).answer.accept(answers.get(i).only(() -> runtime.now() < until && membership.rosterStamp() == baton));
+            }
+        } else if (r.status() == 404) {
+            LOG.info("the owner takes no bundles of reports baton={}", baton);
+            refusedBaton = baton;
+            bundle.forEach(h -> h.answer.accept(toOwner()));
+        } else {
+            // Sent again, until its time is over: the owner takes a report that it knows for what it is. More and more seldom: it may be overloaded.
+            bundle.forEach(this::hold);
+            notBefore = runtime.now() + (Constants.RELAY_RETRY_MS << Math.min(failures++, Constants.RELAY_DOUBLINGS));
+        }
+    }
+
+    private Answer toOwner() {
+        String leader = membership.leader();
+        return leader == null || leader.equals(settings.node()) ? Answer.later("not entitled to act") : RelayCodec.elsewhere(leader);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/relay/RelayCodec.java
@@ -0,0 +1,64 @@
+package org.hollypick.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Codec;
+
+/** What controllers say to one another about machines' reports: the bytes of each as they came, and an answer for each. */
+public final class RelayCodec {
+    public static final String PATH = "/reports";
+
+    private RelayCodec() {}
+
+    static JsonNode bundle(String node, long baton, List<byte[]> reports) {
+        ObjectNode body = Codec.object().put("node", node).put("baton", baton);
+        ArrayNode list = body.putArray("reports");
+        reports.forEach(list::add);
+        return body;
+    }
+
+    /**
+     * The owner's side: an answer for each report of a bundle. {@code rightMs}: for how long from now these answers may be passed on; {@code hello}: by
+     * report and by who sent it.
+     */
+    public static Answer take(JsonNode body, long baton, LongSupplier rightMs, BiFunction<byte[], String, Answer> hello) {
+        if (body == null || Codec.u64(body.path("baton")) != baton) {
+            return Answer.later("not the owner under that baton");
+        }
+        ArrayNode answers = Codec.array();
+        for (JsonNode report : body.path("reports")) {
+            try {
+                Answer a = hello.apply(report.binaryValue(), body.path("node").asText()).now();
+                answers.addObject().put("status", a.status()).put("retry", a.retryAfterS()).set("body", a.body());
+            } catch (IOException e) {
+                answers.addObject().put("status", 400).set("body", Codec.object());
+            }
+        }
+        JsonNode told = Codec.object().put("right_ms", rightMs.getAsLong()).set("answers", answers);
+        return Answer.of(200, told);
+    }
+
+    static long rightMs(JsonNode body) {
+        return body.path("right_ms").asLong();
+    }
+
+    static List<Answer> answers(JsonNode body) {
+        List<Answer> list = new ArrayList<>();
+        for (JsonNode a : body.path("answers")) {
+            list.add(new Answer(a.path("status").asInt(503), a.path("body"), a.path("retry").asInt()));
+        }
+        return list;
+    }
+
+    /** The machine should report to that controller. */
+    public static Answer elsewhere(String node) {
+        return Answer.of(421, Codec.object().put("foreman", node));
+    }
+}
--- a/src/test/java/org/hollypick/HttpTest.java
+++ b/src/test/java/org/hollypick/HttpTest.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import org.hollypick.io.HttpServer;
 import org.hollypick.io.Network;
 import org.hollypick.io.Reply;
+import org.hollypick.io.Sockets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -40,7 +42,8 @@
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8192);
-        network = new Network(worker.getIoThread(), buffers, 10);
+        Sockets sockets = new Sockets(100);
+        network = new Network(worker.getIoThread(), buffers, sockets, Set.of(), 10);
         addr = free();
         HttpServer.Service echo = (method, path, body, answer) -> {
             if (path.equals("/hang")) {
@@ -50,7 +53,7 @@
             answer.accept(path.equals("/later") ? Answer.later("busy")
                     : Answer.of(200, Codec.object().put("method", method).put("text", tree == null ? "" : tree.path("text").asText())));
         };
-        server = HttpServer.start(worker, buffers, addr, echo, free(), echo);
+        server = HttpServer.start(worker, buffers, sockets, addr, echo, free(), echo);
     }
 
     @AfterEach
--- a/src/test/java/org/hollypick/LayoutTest.java
+++ b/src/test/java/org/hollypick/LayoutTest.java
@@ -19,6 +19,7 @@
             .layer("protocols").definedBy("org.hollypick.state..", "org.hollypick.cloud..", "org.hollypick.worker..")
             .layer("cluster").definedBy("org.hollypick.cluster..")
             .layer("records").definedBy("org.hollypick.records..")
+            .layer("relay").definedBy("org.hollypick.relay..")
             .layer("control").definedBy("org.hollypick.control..")
             .layer("api").definedBy("org.hollypick.api..")
             .layer("node").definedBy("org.hollypick")
@@ -26,12 +27,13 @@
             .whereLayer("cli").mayNotBeAccessedByAnyLayer()
             .whereLayer("node").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("api").mayOnlyBeAccessedByLayers("node")
+            .whereLayer("relay").mayOnlyBeAccessedByLayers("control", "node")
             .whereLayer("control").mayOnlyBeAccessedByLayers("api", "node")
             .whereLayer("records").mayOnlyBeAccessedByLayers("control", "api", "node", "cli")
-            .whereLayer("cluster").mayOnlyBeAccessedByLayers("records", "control", "api", "node")
-            .whereLayer("protocols").mayOnlyBeAccessedByLayers("cluster", "control", "node")
-            .whereLayer("io").mayOnlyBeAccessedByLayers("protocols", "cluster", "records", "control", "api", "node", "cli")
-            .whereLayer("core").mayOnlyBeAccessedByLayers("protocols", "cluster", "records", "control", "api", "node", "cli");
+            .whereLayer("cluster").mayOnlyBeAccessedByLayers("relay", "records", "control", "api", "node")
+            .whereLayer("protocols").mayOnlyBeAccessedByLayers("relay", "cluster", "control", "node")
+            .whereLayer("io").mayOnlyBeAccessedByLayers("protocols", "cluster", "relay", "records", "control", "api", "node", "cli")
+            .whereLayer("core").mayOnlyBeAccessedByLayers("protocols", "cluster", "relay", "records", "control", "api", "node", "cli");
 
     /** Whoever uses the client library needs nothing of the server. */
     @ArchTest
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -71,7 +71,7 @@
             at.awake(() -> metering.run(name(), Growth.Metering.activity(path, body), () -> node.handle(method, path, bytes, answer -> at.out(() -> {
                 Reply r = answer.get();
                 if (path.equals("/hello") && r.ok() && r.body().path("orders").toString().contains("launch")) {
-                    ordered(name());
+                    answered(name(), r.body().path("baton").asLong());
                 }
                 reply.accept(r);
             }))));
@@ -170,6 +170,15 @@
         }
     }
 
+    /** Any controller may pass on what the owner answers, but only while that one is the owner. */
+    private void answered(String node, long baton) {
+        JsonNode then = state.put("h/roster", baton);
+        JsonNode now = state.data("h/roster");
+        if (then == null || !then.path("leader").equals(now.path("leader")) || !then.path("member").equals(now.path("member"))) {
+            checker.broken.add("answered_without_right " + node + " at " + world.now);
+        }
+    }
+
     private void sweep() {
         checker.sweep(world.now);
         world.at(500, this::sweep);
--- a/src/test/java/org/hollypick/sim/Passing.java
+++ b/src/test/java/org/hollypick/sim/Passing.java
@@ -18,6 +18,11 @@
         return to.now();
     }
 
+    @Override
+    public long timeOfDay() {
+        return to.timeOfDay();
+    }
+
     @Override
     public void after(long ms, Runnable task) {
         to.after(ms, task);
--- a/src/test/java/org/hollypick/sim/StateStandIn.java
+++ b/src/test/java/org/hollypick/sim/StateStandIn.java
@@ -88,6 +88,16 @@
         return e == null ? null : e.data;
     }
 
+    /** What was stored under a key by the change of that number; null if that is long ago or wasn't this key's. */
+    JsonNode put(String key, long stamp) {
+        for (JsonNode e : events) {
+            if (e.path("stamp").asLong() == stamp && e.path("put").asText().equals(key)) {
+                return e.path("data");
+            }
+        }
+        return null;
+    }
+
     void outage(long ms) {
         down = true;
         world.at(ms, () -> {
--- a/src/test/java/org/hollypick/sim/World.java
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -169,6 +169,11 @@
             return (long) (now * rate);
         }
 
+        @Override
+        public long timeOfDay() {
+            return now;
+        }
+
         @Override
         public void after(long ms, Runnable task) {
             at((long) (ms / rate), () -> awake(task));
