--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -211,6 +211,8 @@
     // ---- loops ----
     /** Milliseconds between the owner's regular passes over machines and tasks. */
     public static final long TICK_MS = 250;
+    /** Milliseconds by which the regular loop may come late before this node counts as held up: calls to machines take a second at most. */
+    public static final long LATE_MS = 400;
     /** Milliseconds between placement passes after events: several events share one pass. */
     public static final long PASS_GAP_MS = 20;
     /** Milliseconds after which everything that waits is looked through again, for tasks that had to wait for a while. */
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -264,7 +264,7 @@
         }
         long now = runtime.now();
         summary.ran(now - lastTick);
-        if (now - lastTick > 4 * Constants.TICK_MS) {
+        if (now - lastTick > Constants.TICK_MS + Constants.LATE_MS) {
             own.seen(now); // this node itself was held up, so silence proves nothing yet
         }
         lastTick = now;
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -148,7 +148,8 @@
             openDoubtful -= doubtful ? 1 : 0;
             long now = runtime.now();
             if (r.status() == Reply.LACK) {
-                own.seen(now);
+                own.lacked(now);
+                pace.lacked(now);
             } else if (r.status() > 0 && !doubtful) {
                 own.answered(now - asked, now);
                 pace.answered(now - asked, now);
--- a/src/main/java/org/hollypick/core/watch/OwnTrouble.java
+++ b/src/main/java/org/hollypick/core/watch/OwnTrouble.java
@@ -19,11 +19,16 @@
         stretch = now;
     }
 
-    /** The loop stood still, the right to act was away, or a call wasn't sent for want of something here. */
+    /** The loop stood still, or the right to act was away. */
     public void seen(long now) {
         at = now;
     }
 
+    /** A call wasn't sent for want of something here: as if its answer had been slow, since one now and then is what finds the limit. */
+    public void lacked(long now) {
+        answered(Long.MAX_VALUE, now);
+    }
+
     /** A machine answered a call after that long. */
     public void answered(long tookMs, long now) {
         if (now - stretch >= Constants.SLOW_STRETCH_MS) {
--- a/src/main/java/org/hollypick/core/watch/Pace.java
+++ b/src/main/java/org/hollypick/core/watch/Pace.java
@@ -19,6 +19,11 @@
         }
     }
 
+    /** There was no room for another one. */
+    public void lacked(long now) {
+        answered(Long.MAX_VALUE, now);
+    }
+
     public int window() {
         return (int) window;
     }
--- a/src/main/java/org/hollypick/io/Sockets.java
+++ b/src/main/java/org/hollypick/io/Sockets.java
@@ -56,6 +56,15 @@
         return open.get(kind) < floors.get(kind) || spare() > 0;
     }
 
+    /** Whether not even one more can be given out. */
+    public boolean full() {
+        int all = 0;
+        for (int n : open.values()) {
+            all += n;
+        }
+        return all >= limit;
+    }
+
     /** Whether a connection of that kind should be closed after its answer. */
     public boolean crowded(Kind kind) {
         return open.get(kind) > floors.get(kind) && spare() < 0;
--- a/src/test/java/org/hollypick/HttpTest.java
+++ b/src/test/java/org/hollypick/HttpTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,7 +11,11 @@
 import java.io.InputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -34,6 +39,7 @@
 class HttpTest {
     private XnioWorker worker;
     private Network network;
+    private Sockets sockets;
     private Undertow server;
     private String addr;
 
@@ -42,7 +48,7 @@
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1).getMap());
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8192);
-        Sockets sockets = new Sockets(100);
+        sockets = new Sockets(100);
         network = new Network(worker.getIoThread(), buffers, sockets, Set.of(), 10);
         addr = free();
         HttpServer.Service echo = (method, path, body, answer) -> {
@@ -50,6 +56,10 @@
                 return;
             }
             var tree = Codec.read(body, false);
+            if (path.equals("/none")) {
+                answer.accept(Answer.error(404, "none"));
+                return;
+            }
             answer.accept(path.equals("/later") ? Answer.later("busy")
                     : Answer.of(200, Codec.object().put("method", method).put("text", tree == null ? "" : tree.path("text").asText())));
         };
@@ -92,6 +102,49 @@
         assertEquals(Reply.NOT_SENT, call(Call.of(free(), "GET", "/", null, 2_000)).status());
     }
 
+    /** Given-up attempts kept their sockets, until a controller that tried machines in the dark had none left. */
+    @Test
+    void anAttemptThatIsGivenUpKeepsNoSocket() throws Exception {
+        try (ServerSocket dark = new ServerSocket(0, 1)) {
+            // Nobody accepts: beyond the backlog connections hang without an error.
+            List<Socket> fill = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                SocketChannel c = SocketChannel.open();
+                c.configureBlocking(false);
+                c.connect(dark.getLocalSocketAddress());
+                fill.add(c.socket());
+            }
+            String to = "127.0.0.1:" + dark.getLocalPort();
+            Set<Integer> answers = new HashSet<>();
+            for (int i = 0; i < 4; i++) {
+                answers.add(call(Call.of(to, "GET", "/", null, 200)).status());
+            }
+            assertTrue(answers.stream().allMatch(s -> s == Reply.NOT_SENT || s == Reply.NO_ANSWER), answers.toString());
+            for (int i = 0; i < 100 && sockets.open(Sockets.Kind.ORDERS) > 0; i++) {
+                Thread.sleep(20);
+            }
+            assertEquals(0, sockets.open(Sockets.Kind.ORDERS));
+            for (Socket s : fill) {
+                s.close();
+            }
+        }
+    }
+
+    /** What this node has no room for says nothing about the other side; the services that it can't do without have room all the same. */
+    @Test
+    void aCallWithoutRoomIsToldApart() throws Exception {
+        for (int i = 0; i < 100; i++) {
+            sockets.opened(Sockets.Kind.REPORTS);
+        }
+        for (int i = 0; i < 12; i++) {
+            sockets.opened(Sockets.Kind.ORDERS);
+        }
+        assertEquals(Reply.LACK, call(Call.of(addr, "GET", "/echo", null, 2_000)).status());
+        assertEquals(404, call(new Call(addr, "GET", "/none", null, 2_000, true)).status());
+        assertTrue(raw("POST /hello HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").contains("Connection: close"), "reports give way after their answer");
+        assertFalse(raw("GET /echo HTTP/1.1\r\nHost: x\r\n\r\n").contains("Connection: close"), "users have their floor");
+    }
+
     private String raw(String request) throws Exception {
         try (Socket s = new Socket("127.0.0.1", Integer.parseInt(addr.substring(addr.lastIndexOf(':') + 1)))) {
             s.setSoTimeout(5_000);
--- /dev/null
+++ b/src/test/java/org/hollypick/WatchTest.java
@@ -0,0 +1,138 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.hollypick.config.Constants;
+import org.hollypick.core.spread.Shares;
+import org.hollypick.core.watch.OwnTrouble;
+import org.hollypick.core.watch.Pace;
+import org.hollypick.io.Sockets;
+import org.junit.jupiter.api.Test;
+
+/** What bounds the load of many machines: sockets by kind, calls under way, who reports where, and when an owner trusts itself. */
+class WatchTest {
+    /** Whatever is opened and closed as the rules allow, no kind is refused its floor, and all together stay under the limit. */
+    @Property(tries = 300, seed = "20261201")
+    void everyKindHasItsFloor(@ForAll long seed, @ForAll @IntRange(min = 200, max = 5_000) int sockets) {
+        Random random = new Random(seed);
+        Sockets s = new Sockets(sockets);
+        Map<Sockets.Kind, Integer> open = new HashMap<>();
+        for (int i = 0; i < 4 * sockets; i++) {
+            Sockets.Kind k = Sockets.Kind.values()[random.nextInt(4)];
+            if (random.nextInt(5) == 0 && open.getOrDefault(k, 0) > 0) {
+                s.closed(k);
+                open.merge(k, -1, Integer::sum);
+            } else if (s.room(k)) {
+                s.opened(k);
+                open.merge(k, 1, Integer::sum);
+            }
+            assertTrue(open.values().stream().mapToInt(n -> n).sum() <= sockets);
+            assertFalse(s.crowded(k), "what had room isn't too much");
+        }
+        for (Sockets.Kind k : Sockets.Kind.values()) {
+            while (open.getOrDefault(k, 0) > 0) {
+                s.closed(k);
+                open.merge(k, -1, Integer::sum);
+            }
+            for (int i = 0; i < sockets * Constants.CONTROL_SOCKETS; i++) {
+                assertTrue(s.room(k), k + " is refused its floor");
+                s.opened(k);
+                open.merge(k, 1, Integer::sum);
+            }
+        }
+    }
+
+    /** Machines that follow what they are told end evenly spread, and then none moves any more: no ping-pong. */
+    @Property(tries = 100, seed = "20261201")
+    void sharesBecomeEvenAndStaySo(@ForAll long seed, @ForAll @IntRange(min = 3, max = 600) int machines, @ForAll @IntRange(min = 2, max = 5) int nodes) {
+        Random random = new Random(seed);
+        List<String> names = List.of("n0", "n1", "n2", "n3", "n4").subList(0, nodes);
+        String[] at = new String[machines];
+        for (int m = 0; m < machines; m++) {
+            at[m] = names.get(random.nextInt(1 + random.nextInt(nodes)));
+        }
+        Shares shares = new Shares("n0", 0);
+        int moved = 0;
+        for (long t = 0; t < 400_000; t += 1_000) {
+            int before = moved;
+            for (String n : names) {
+                shares.alive(n, t);
+            }
+            for (int m = 0; m < machines; m++) {
+                shares.reported("m" + m, at[m], t);
+                String to = shares.elsewhere(at[m], t);
+                if (to != null) {
+                    at[m] = to;
+                    moved++;
+                }
+            }
+            assertTrue(moved - before <= Math.max(1, machines * Constants.MOVED_SHARE) + 1, "few at a time");
+            assertTrue(t < 300_000 || moved == before, "it has settled");
+        }
+        assertTrue(moved <= machines, "no machine moves again and again");
+        int total = names.stream().mapToInt(shares::count).sum();
+        assertEquals(machines, total);
+        for (String n : names) {
+            double target = machines / (nodes - 1 + Constants.OWNER_SHARE) * (n.equals("n0") ? Constants.OWNER_SHARE : 1);
+            assertTrue(shares.count(n) <= target * Constants.UNEVEN + Constants.UNEVEN_MACHINES, n + " has " + shares.count(n) + " of " + machines);
+        }
+    }
+
+    /** A controller that hands nothing on any more is sent nothing. */
+    @Test
+    void nobodyIsSentToAControllerThatIsSilent() {
+        Shares shares = new Shares("a", 0);
+        for (int m = 0; m < 100; m++) {
+            shares.reported("m" + m, "a", 0);
+        }
+        assertEquals(null, shares.elsewhere("a", 5_000));
+        shares.alive("b", 5_000);
+        assertEquals("b", shares.elsewhere("a", 6_000));
+        assertEquals(null, shares.elsewhere("a", 5_001 + Constants.RELAY_ALIVE_MS));
+    }
+
+    @Test
+    void slowAnswersHalveTheCallsUnderWayOnceAStretch() {
+        Pace pace = new Pace();
+        for (int i = 0; i < 50; i++) {
+            pace.answered(Constants.SLOW_CALL_MS + 1, 1_000);
+        }
+        assertEquals(Constants.DIRECT_OPEN / 2, pace.window());
+        for (int i = 0; i < 20; i++) {
+            pace.answered(Constants.SLOW_CALL_MS + 1, 2_000 + i * Constants.PACE_MS);
+        }
+        assertEquals(Constants.DIRECT_LEAST, pace.window());
+        for (int i = 0; i < 10_000; i++) {
+            pace.answered(10, 60_000);
+        }
+        assertEquals(Constants.DIRECT_OPEN, pace.window());
+    }
+
+    /** One slow machine among many says nothing about this node; many do, and for a while after. */
+    @Test
+    void manySlowAnswersAreThisNodesOwnTrouble() {
+        OwnTrouble own = new OwnTrouble(0);
+        assertFalse(own.sound(1_000), "just begun");
+        assertTrue(own.sound(Constants.SILENT_GRACE_MS));
+        for (int i = 0; i < 100; i++) {
+            own.answered(i % 10 == 0 ? 900 : 20, 5_000);
+        }
+        assertTrue(own.sound(5_000));
+        for (int i = 0; i < 100; i++) {
+            own.answered(i % 2 == 0 ? 900 : 20, 8_000);
+        }
+        assertFalse(own.sound(8_000 + Constants.SILENT_GRACE_MS - 1));
+        assertTrue(own.sound(8_000 + Constants.SILENT_GRACE_MS));
+        own.seen(20_000);
+        assertFalse(own.sound(20_001), "a gap, or a call not sent");
+    }
+}
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -19,6 +19,7 @@
 import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
+import org.hollypick.io.Sockets;
 
 /** A short day: three controllers, users, machines and faults drawn from a seed, with every rule checked. */
 final class Day {
@@ -47,6 +48,8 @@
 
         void start() {
             process = world.new Process("bothy-" + index, rate);
+            process.sockets = sockets > 0 ? new Sockets(sockets) : null;
+            process.costMs = costMs;
             node = old ? production.controller(process, settings(index, false)) : Controller.of(version.apply(process, settings(index, tightened != null)));
             process.after(0, node::start);
         }
@@ -67,9 +70,17 @@
         @Override
         public void request(String method, String path, JsonNode body, Consumer<Reply> reply) {
             World.Process at = process;
+            String reporter = path.equals("/hello") ? body.path("bothy").asText() : null;
+            if (reporter != null && !at.accepts(reporter)) {
+                reply.accept(Reply.notSent());
+                return;
+            }
             byte[] bytes = body == null ? new byte[0] : Codec.write(body, false);
             at.awake(() -> metering.run(name(), Growth.Metering.activity(path, body), () -> node.handle(method, path, bytes, answer -> at.out(() -> {
                 Reply r = answer.get();
+                if (reporter != null) {
+                    at.answered(reporter);
+                }
                 if (path.equals("/hello") && r.ok() && r.body().path("orders").toString().contains("launch")) {
                     answered(name(), r.body().path("baton").asLong());
                 }
@@ -89,6 +100,9 @@
     private final BiFunction<Runtime, Settings, Node> version;
     /** Takes the time of what the controllers are asked. */
     Growth.Metering metering = (node, activity, handling) -> handling.run();
+    /** Of each controller started from now on; 0: no limit. */
+    int sockets;
+    double costMs;
     private int jobs;
     private boolean lasting;
     private final Set<String> keep = new HashSet<>();
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/StormTest.java
@@ -0,0 +1,145 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.junit.jupiter.api.Test;
+
+/** More machines than a controller has sockets, and less processor time than a takeover would like (docs/incidents/storm.md). */
+class StormTest {
+    private static final BiFunction<Runtime, Settings, Node> NEW = (r, s) -> new Node(r, s, OperatorSettings.defaults());
+    private static final int SIZE = 30;
+    private static final int SOCKETS = 150;
+
+    /** What a day's controllers did: changes of lead, and good machines returned. */
+    private static final class Watched {
+        private final Day day;
+        private final List<Long> changes = new ArrayList<>();
+        private final Set<String> wellReturned = new HashSet<>();
+        private final Set<String> hung = new HashSet<>();
+        private long roster;
+
+        Watched(long seed, BiFunction<Runtime, Settings, Node> version) {
+            day = new Day(seed, SIZE, null, null, version);
+            day.play(3_000);
+            day.submitLasting(30);
+            day.submitSome(20, 60_000);
+            day.play(70_000);
+            day.sockets = SOCKETS;
+            day.costMs = 1.2;
+            roster = leaderStamp();
+            day.world.sending = (from, call) -> {
+                if (call.path().equals("/hosts/return")) {
+                    call.body().path("bothies").forEach(id -> returned(id.asText()));
+                }
+            };
+        }
+
+        private long leaderStamp() {
+            return day.state.data("h/roster").path("member").asLong();
+        }
+
+        /** One that runs services is neither idle nor more than is needed. */
+        private void returned(String id) {
+            for (WorkerStandIn w : day.cloud.workers()) {
+                if (w.name.equals(id) && w.tasks() > 0 && !hung.contains(id)) {
+                    wellReturned.add(id);
+                }
+            }
+        }
+
+        Watched play(long ms) {
+            for (long t = 0; t < ms; t += 100) {
+                day.play(100);
+                if (leaderStamp() != roster) {
+                    roster = leaderStamp();
+                    changes.add(day.world.now);
+                }
+            }
+            return this;
+        }
+    }
+
+    /** All controllers end, and come back with few sockets and little processor time. */
+    private static Watched crashOfAll(long seed, BiFunction<Runtime, Settings, Node> version) {
+        Watched w = new Watched(seed, version);
+        w.day.crashAll();
+        return w.play(90_000);
+    }
+
+    @Test
+    void aCrashOfAllIsOneChangeOfLead() {
+        for (int seed = 1; seed <= 4; seed++) {
+            Watched w = crashOfAll(seed, NEW);
+            assertTrue(w.day.cloud.workers().size() > 1.5 * SOCKETS, "more machines than sockets: " + w.day.cloud.workers().size());
+            assertTrue(w.changes.size() <= 2, "seed " + seed + ": the lead changed at " + w.changes);
+            assertEquals(Set.of(), w.wellReturned, "seed " + seed);
+            assertEquals(List.of(), w.day.checker.broken, "seed " + seed);
+        }
+    }
+
+    /** One after the other, the state service away in between, and an owner that stands still: as many changes of lead as there are faults, at most. */
+    @Test
+    void troublesInARowDoNotFeedThemselves() {
+        for (int seed = 1; seed <= 3; seed++) {
+            Watched w = new Watched(seed, NEW);
+            for (int node = 0; node < 3; node++) {
+                int n = node;
+                w.day.world.at(1_000 + 20_000 * node, () -> w.day.crash(n, 6_000));
+            }
+            w.day.world.at(65_000, () -> w.day.state.outage(12_000));
+            w.day.world.at(90_000, () -> w.day.freeze(w.day.leader(), 7_000));
+            w.play(160_000);
+            assertTrue(w.changes.size() <= 5, "seed " + seed + ": the lead changed at " + w.changes);
+            assertEquals(Set.of(), w.wellReturned, "seed " + seed);
+            assertEquals(List.of(), w.day.checker.broken, "seed " + seed);
+        }
+    }
+
+    /** What hangs is still returned, and soon, although sockets are short. */
+    @Test
+    void machinesThatHangAreReturnedWhileSocketsAreShort() {
+        Watched w = crashOfAll(1, NEW);
+        List<WorkerStandIn> some = w.day.cloud.workers().subList(0, 12);
+        some.forEach(m -> {
+            w.hung.add(m.name);
+            m.hang(120_000);
+        });
+        w.play(25_000);
+        assertTrue(w.hung.stream().noneMatch(w.day.cloud.names()::contains), "still there");
+        assertEquals(Set.of(), w.wellReturned);
+    }
+
+    /** As it was: a call that this node had no socket for counts like a machine's silence, and no other controller is asked. */
+    @Test
+    void aLackTakenForSilenceCostsGoodMachines() {
+        BiFunction<Runtime, Settings, Node> faulty = (r, s) -> NEW.apply(new Passing(r) {
+            @Override
+            public void call(Call call, Consumer<Reply> reply) {
+                if (call.path().equals("/reach")) {
+                    r.after(1, () -> reply.accept(new Reply(404, null)));
+                } else {
+                    super.call(call, a -> reply.accept(a.status() == Reply.LACK ? Reply.noAnswer() : a));
+                }
+            }
+        }, s);
+        boolean noticed = false;
+        for (int seed = 1; seed <= 6 && !noticed; seed++) {
+            Watched w = crashOfAll(seed, faulty);
+            noticed = !w.wellReturned.isEmpty() || w.changes.size() > 2;
+        }
+        assertTrue(noticed);
+    }
+}
--- a/src/test/java/org/hollypick/sim/World.java
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -4,6 +4,7 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,7 +18,9 @@
 import java.util.function.Predicate;
 import org.hollypick.io.Call;
 import org.hollypick.io.Reply;
+import org.hollypick.config.Constants;
 import org.hollypick.io.Runtime;
+import org.hollypick.io.Sockets;
 
 /** Simulated time and network. Cuts hold messages back and deliver them late, or lose them. */
 final class World {
@@ -151,6 +154,14 @@
         private static final long OUT_MS = 1;
 
         private final String host;
+        /** Its connections; null: as many as it likes. A machine's stays open until it is closed after an answer, or unused for long. */
+        Sockets sockets;
+        private final Map<String, Long> reporters = new HashMap<>();
+        /** Milliseconds of processor time for each thing that it does; 0: none. What it can't do at once waits its turn. */
+        double costMs;
+        private final ArrayDeque<Runnable> turn = new ArrayDeque<>();
+        private double busyUntil;
+        private boolean draining;
         /** How fast this process's steady clock runs. */
         private final double rate;
         boolean dead;
@@ -186,8 +197,53 @@
             }
             if (now < frozenUntil) {
                 at(frozenUntil - now, () -> awake(task));
-            } else {
+            } else if (costMs == 0) {
                 task.run();
+            } else {
+                turn.add(task);
+                drain();
+            }
+        }
+
+        /** One thing after the other, each at its cost. */
+        private void drain() {
+            if (!draining && !dead) {
+                while (!turn.isEmpty() && busyUntil <= now) {
+                    busyUntil = Math.max(busyUntil, now) + costMs;
+                    turn.poll().run();
+                }
+                if (!turn.isEmpty()) {
+                    draining = true;
+                    at((long) Math.ceil(busyUntil - now), () -> {
+                        draining = false;
+                        drain();
+                    });
+                }
+            }
+        }
+
+        /** A report arrives: false if there is no socket for its connection. */
+        boolean accepts(String from) {
+            if (sockets == null || reporters.put(from, now) != null) {
+                return true;
+            }
+            if (sockets.full()) {
+                reporters.remove(from);
+                return false;
+            }
+            sockets.opened(Sockets.Kind.REPORTS);
+            return true;
+        }
+
+        /** It was answered: the connection closes now if others need it, else when it has been unused for long. */
+        void answered(String from) {
+            if (sockets != null && reporters.containsKey(from)) {
+                long used = reporters.get(from);
+                at(sockets.crowded(Sockets.Kind.REPORTS) ? 0 : Constants.IDLE_CONNECTION_MS, () -> {
+                    if (reporters.remove(from, used)) {
+                        sockets.closed(Sockets.Kind.REPORTS);
+                    }
+                });
             }
         }
 
@@ -212,7 +268,20 @@
                 trap = c -> false;
                 freeze(trapMs);
             }
-            Consumer<Reply> in = r -> awake(() -> reply.accept(r));
+            Sockets.Kind kind = call.mesh() || call.address().endsWith(":1") ? Sockets.Kind.CONTROL : Sockets.Kind.ORDERS;
+            if (sockets != null) {
+                if (kind == Sockets.Kind.ORDERS && !sockets.room(kind)) {
+                    at(0, () -> awake(() -> reply.accept(Reply.lack())));
+                    return;
+                }
+                sockets.opened(kind);
+            }
+            Consumer<Reply> in = r -> {
+                if (sockets != null) {
+                    sockets.closed(kind);
+                }
+                awake(() -> reply.accept(r));
+            };
             out(() -> {
                 if (call.still().getAsBoolean()) {
                     sending.accept(host, call);
