--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -46,6 +46,8 @@
     /** Polls that wait to be asked about, and whether that is due already. */
     private final Map<String, List<Consumer<Answer>>> polls = new LinkedHashMap<>();
     private boolean gathering;
+    /** Submissions refused so far. */
+    private int refused;
 
     public UserApi(Runtime runtime, Settings settings, View view, Membership membership, JobRecords records, Dependencies dependencies,
             Supplier<Term> term, Supplier<Map<String, MachineType>> types) {
@@ -133,7 +135,7 @@
                 case CREATED -> answer.accept(Answer.of(201, body(spec.id(), dependencies.anyCancelled(awaits) ? Records.ABORTED : "pending", 0, 0)));
                 case KNOWN -> status(spec.id(), answer);
                 case TOO_LARGE -> unlessKnown(spec.id(), Answer.error(400, "larger than the state service can hold"), answer);
-                default -> answer.accept(Answer.later("busy"));
+                default -> answer.accept(Answer.crowded(refused++));
             }
         });
     }
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -188,6 +188,8 @@
     public static final int STATE_QUEUE = 100;
     /** Milliseconds a queued state request may wait for its turn; users give up after 5 s. */
     public static final long STATE_QUEUE_MS = 2_500;
+    /** Share of that time which may be used up by what is queued already when something new is taken on: other requests share the way. */
+    public static final double QUEUE_PROMISE = 0.8;
 
     /** Share of the state service's limit on a value that is used, by the bytes of compact JSON: it may count white space too. */
     public static final double VALUE_SHARE = 0.875;
@@ -201,6 +203,8 @@
     public static final int BODY_BYTES = 64 * 1024;
     /** Seconds told in Retry-After: the shortest the protocol allows, since most refusals are brief. */
     public static final int RETRY_AFTER_S = 1;
+    /** Seconds told at most to those refused in a crowd, each another number, so that they don't come back together. */
+    public static final int RETRY_SPREAD_S = 3;
     /** Tasks of one job at most, from the protocol. */
     public static final int TASKS_MAX = 100_000;
     /** Tasks in one part of a progress record at most: 4 KiB of bits is 5.5 KiB in base64. Smaller values hold smaller parts. */
@@ -273,6 +277,8 @@
     /** Slow answers from which on they may be this node's own doing, and the share of all answers that they must be: slow machines are few. */
     public static final int SLOW_CALLS = 3;
     public static final double SLOW_SHARE = 0.25;
+    /** Milliseconds within which a machine that saw a new baton in an answer has reported again: it waits half a second at most, and the way back. */
+    public static final long REPORTS_AGAIN_MS = 1_000;
     /** Direct calls under way that are always allowed. */
     public static final int DIRECT_LEAST = 8;
     /** Milliseconds between two cuts of the number of calls under way: all that were slow together count once. */
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -187,13 +187,17 @@
         }
     }
 
-    /** After a takeover nothing tells more quickly what is where than asking every registered machine, some at a time. */
+    /**
+     * After a takeover nothing tells more quickly what is where than asking every registered machine, some at a time; but one that was just answered
+     * reports again by itself, since it saw a new baton.
+     */
     void contactUnheard() {
         if (scheduler.settled()) {
             return;
         }
+        long now = runtime.now();
         for (Machine m : scheduler.machines.values()) {
-            if (!m.heard) {
+            if (!m.heard && !(m.up && now - m.answeredAt < Constants.REPORTS_AGAIN_MS)) {
                 probe(m);
             }
         }
--- a/src/main/java/org/hollypick/io/Answer.java
+++ b/src/main/java/org/hollypick/io/Answer.java
@@ -33,6 +33,11 @@
         return new Answer(status, body, 0);
     }
 
+    /** Refused since many come at once: told at once, and the {@code turn}th is told another time than the one before. */
+    public static Answer crowded(int turn) {
+        return new Answer(503, Codec.object().put("error", "busy"), Constants.RETRY_AFTER_S + Math.floorMod(turn, Constants.RETRY_SPREAD_S));
+    }
+
     /** Refused for now, told at once and with a time to come back. */
     public static Answer later(String message) {
         return new Answer(503, Codec.object().put("error", message), Constants.RETRY_AFTER_S);
--- a/src/main/java/org/hollypick/state/StateClient.java
+++ b/src/main/java/org/hollypick/state/StateClient.java
@@ -22,6 +22,7 @@
     private final RateBudget requests;
     private final RateBudget writes;
     private final ArrayDeque<Queued> queue = new ArrayDeque<>();
+    private int queuedPuts;
     private boolean draining;
 
     private record Queued(Call call, int puts, long deadline, Consumer<Reply> reply) {}
@@ -83,7 +84,12 @@
                 : owner ? all * Constants.OWNER_WRITE_SHARE : all * (1 - Constants.OWNER_WRITE_SHARE) / others);
     }
 
+    /** Whether a new write would wait here for longer than it may: whoever wants it is told so at once. */
     public boolean crowded() {
+        return full() || queuedPuts > Math.max(1, writes.rate() * Constants.STATE_QUEUE_MS / 1000.0 * Constants.QUEUE_PROMISE);
+    }
+
+    private boolean full() {
         return queue.size() >= Constants.STATE_QUEUE;
     }
 
@@ -134,10 +140,11 @@
     }
 
     private void submit(Call call, int puts, Consumer<Reply> reply) {
-        if (crowded()) {
+        if (full()) {
             reply.accept(Reply.notSent());
             return;
         }
+        queuedPuts += puts;
         queue.add(new Queued(call, puts, runtime.now() + Constants.STATE_QUEUE_MS, reply));
         drain();
     }
@@ -151,9 +158,11 @@
             Queued next = queue.peek();
             if (now >= next.deadline) {
                 queue.poll();
+                queuedPuts -= next.puts;
                 next.reply.accept(Reply.notSent());
             } else if (requests.has(1, now) && writes.has(next.puts, now)) {
                 queue.poll();
+                queuedPuts -= next.puts;
                 requests.take(1, now);
                 writes.take(next.puts, now);
                 runtime.call(next.call, next.reply);
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -428,9 +428,23 @@
         hosts.forEach(h -> h.crash(4_000 + world.random.nextInt(4_000)));
     }
 
+    /** From now on each controller has no more sockets than that, and everything that it does takes it so long. */
+    void limit(int sockets, double costMs) {
+        this.sockets = sockets;
+        this.costMs = costMs;
+        hosts.forEach(h -> {
+            h.process.sockets = new Sockets(sockets);
+            h.process.costMs = costMs;
+        });
+    }
+
+    String lead() {
+        return state.data("h/roster").path("leader").asText();
+    }
+
     /** The number of the controller that the roster names. */
     int leader() {
-        return Integer.parseInt(state.data("h/roster").path("leader").asText().substring("bothy-".length()));
+        return Integer.parseInt(lead().substring("bothy-".length()));
     }
 
     int ready(int node) {
--- a/src/test/java/org/hollypick/sim/Growth.java
+++ b/src/test/java/org/hollypick/sim/Growth.java
@@ -24,6 +24,10 @@
     private static final int MACHINES_A_SIZE = 14;
     private static final long WARM_MS = 90_000;
     private static final long MEASURED_MS = 60_000;
+    private static final long TAKEOVER_MS = 20_000;
+    /** In the takeover: sockets of each controller, and what each thing that it does costs it. */
+    private static final int SOCKETS = 1_800;
+    private static final double COST_MS = 0.4;
 
     /** Processor nanoseconds by activity; an activity inside another counts for itself only. */
     private static final class Meter {
@@ -46,8 +50,8 @@
     private Growth() {}
 
     public static void main(String[] args) {
-        System.out.printf("| machines | tasks there | %s |%n", "owner's processor time a second of the day, ms: by activity (times a second) | others, ms | bytes to the state service a second | changes a second | reload after a takeover, ms | heap in use, MB");
-        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
+        System.out.printf("| machines | tasks there | %s |%n", "owner's processor time a second of the day, ms: by activity (times a second) | others, ms | bytes to the state service a second | changes a second | processor time of the new owner in 20 s of a takeover, ms | from its claim until every machine has seen it, s | heap in use, MB");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (String arg : args) {
             measure(Integer.parseInt(arg));
         }
@@ -91,11 +95,20 @@
         java.lang.Runtime vm = java.lang.Runtime.getRuntime();
         long heap = (vm.totalMemory() - vm.freeMemory()) >> 20;
         meters.values().forEach(m -> m.by.clear());
+        day.limit(SOCKETS, COST_MS);
         day.crash(day.leader(), 60_000);
-        day.play(8_000);
+        long from = day.world.now;
+        long led = 0;
+        long known = 0;
+        while (day.world.now < from + TAKEOVER_MS) {
+            day.play(50);
+            long baton = day.state.stamp("h/roster");
+            led = led == 0 && !day.lead().equals(owner) ? day.world.now : led;
+            known = known == 0 && led > 0 && day.cloud.workers().stream().allMatch(w -> w.baton >= baton) ? day.world.now : known;
+        }
         Meter next = meters.get("bothy-" + day.leader());
         double reload = next.by.values().stream().mapToLong(s -> s[0]).sum() / 1e6;
-        System.out.printf(Locale.ROOT, "| %d | %d | %.1f: %s| %.1f | %.0f | %.1f | %.0f | %d |%n", found, there, all[0], by, all[1], bytes, changes, reload, heap);
+        System.out.printf(Locale.ROOT, "| %d | %d | %.1f: %s| %.1f | %.0f | %.1f | %.0f | %.1f | %d |%n", found, there, all[0], by, all[1], bytes, changes, reload, (known - led) / 1000.0, heap);
     }
 
     private static Node metered(Runtime r, Settings s, Meter meter) {
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/RelayTest.java
@@ -0,0 +1,89 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Call;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.junit.jupiter.api.Test;
+
+/** Reports that other controllers hand on to the owner, and its answers that they pass back. */
+class RelayTest {
+    private static final BiFunction<Runtime, Settings, Node> NEW = (r, s) -> new Node(r, s, OperatorSettings.defaults());
+
+    /** The others stand still with the owner's answers in hand; it ends meanwhile, and another one leads when they go on. */
+    private static Day standstill(int seed, BiFunction<Runtime, Settings, Node> version) {
+        Day day = new Day(seed, 6, null, null, version);
+        day.submitSome(80, 110_000);
+        boolean[] armed = {false};
+        day.world.sending = (from, call) -> {
+            if (armed[0] && call.path().equals("/reports")) {
+                armed[0] = false;
+                int leader = day.leader();
+                int other = Integer.parseInt(from.substring("bothy-".length()));
+                // It hears of the new roster later still.
+                day.freeze(other, 9_000);
+                day.world.cut(from, "state:1", 12_000);
+                day.world.at(40, () -> day.crash(leader, 6_000));
+            }
+        };
+        for (int i = 0; i < 5; i++) {
+            day.world.at(20_000 + 20_000 * i, () -> armed[0] = true);
+        }
+        day.play(140_000);
+        return day;
+    }
+
+    @Test
+    void whatWasAnsweredBeforeAStandstillIsNotPassedOnAfterTheOwnersEnd() {
+        for (int seed = 1; seed <= 6; seed++) {
+            assertEquals(List.of(), standstill(seed, NEW).checker.broken, "seed " + seed);
+        }
+    }
+
+    /** Without the bound that the owner tells, its orders would reach machines while another one leads. */
+    @Test
+    void theCheckerNoticesAnswersPassedOnForTooLong() {
+        BiFunction<Runtime, Settings, Node> faulty = (r, s) -> NEW.apply(new Passing(r) {
+            @Override
+            public void call(Call call, Consumer<Reply> reply) {
+                super.call(call, a -> {
+                    if (call.path().equals("/reports") && a.ok()) {
+                        ((ObjectNode) a.body()).put("right_ms", 60_000);
+                    }
+                    reply.accept(a);
+                });
+            }
+        }, s);
+        boolean noticed = false;
+        for (int seed = 1; seed <= 40 && !noticed; seed++) {
+            noticed = standstill(seed, faulty).checker.broken.stream().anyMatch(b -> b.startsWith("answered_without_right"));
+        }
+        assertTrue(noticed);
+    }
+
+    /** All machines stay with the controllers that are left, at once and without looking for the owner. */
+    @Test
+    void aNewOwnerHearsOfMachinesThroughTheOthers() {
+        Day day = new Day(5, 8);
+        day.play(3_000);
+        day.submitLasting(12);
+        day.play(60_000);
+        int lost = day.checker.lost;
+        day.crash(day.leader(), 40_000);
+        day.play(12_000);
+        long baton = day.state.stamp("h/roster");
+        assertTrue(day.cloud.workers().stream().allMatch(w -> w.baton >= baton), "every machine has seen the new owner's baton");
+        day.play(60_000);
+        assertEquals(lost, day.checker.lost);
+        assertEquals(List.of(), day.checker.broken);
+    }
+}
--- a/src/test/java/org/hollypick/sim/StateStandIn.java
+++ b/src/test/java/org/hollypick/sim/StateStandIn.java
@@ -88,6 +88,11 @@
         return e == null ? null : e.data;
     }
 
+    long stamp(String key) {
+        Entry e = keys.get(key);
+        return e == null ? 0 : e.stamp;
+    }
+
     /** What was stored under a key by the change of that number; null if that is long ago or wasn't this key's. */
     JsonNode put(String key, long stamp) {
         for (JsonNode e : events) {
--- a/src/test/java/org/hollypick/sim/WorkerStandIn.java
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -39,7 +39,8 @@
     private int node;
     private long tenure = 1;
     private long tick;
-    private long baton;
+    /** The highest that it has seen. */
+    long baton;
     private long renewedAt;
     private boolean reporting;
     private long lastReport;
