A floor for lower ranks where several teams share: every fourth freed machine by arrival

Change: Planner.fill fills every fourth machine on which room comes free in arrival order, the paper's own, if there is more than one team.

--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -248,6 +248,11 @@
     /** Steps in which the space between two neighbouring sizes is searched for the cutoff: it can hold two sign changes. */
     public static final int GAP_STEPS = 32;
 
+    // ---- fair among classes and teams ----
+    /** With several teams every fourth machine on which room comes free is filled by arrival alone, as in the paper: strict rank would let a flood of one
+     * class starve a lower one for as long as it lasts. It costs higher ranks a quarter of that room while older work of lower rank waits. */
+    public static final int FLOOR_EVERY = 4;
+
     // ---- placement ----
     /** Core-seconds of lower work that may be lost to spare a service one second of fetching its image. */
     public static final double LOST_PER_FETCH_S = 20;
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -24,6 +24,8 @@
     private List<Job> secondJobs = List.of();
     /** Machines of the first partition that hold nothing. */
     private int idleFirst;
+    /** Machines filled so far. */
+    private int fills;
     /** Cores of all services, as of the last pass. */
     private double allServices;
 
@@ -78,6 +80,9 @@
             return;
         }
         List<Machine> one = List.of(m);
+        boolean byArrival = scheduler.severalTeams() && ++fills % Constants.FLOOR_EVERY == 0;
+        List<Job> first = byArrival ? byArrival(firstJobs) : firstJobs;
+        List<Job> second = byArrival ? byArrival(secondJobs) : secondJobs;
         for (Job job : secondJobs) {
             if (job.waits() && job.spec.service()) {
                 placeService(job, one, now);
@@ -85,14 +90,21 @@
         }
         if (m.first) {
             countIdleFirst();
-            firstJobs.forEach(job -> place(job, one, List.of(), false, now));
-            secondJobs.forEach(job -> place(job, List.of(), one, true, now));
+            first.forEach(job -> place(job, one, List.of(), false, now));
+            second.forEach(job -> place(job, List.of(), one, true, now));
         } else {
-            secondJobs.forEach(job -> place(job, one, List.of(), true, now));
-            firstJobs.forEach(job -> place(job, List.of(), one, false, now));
+            second.forEach(job -> place(job, one, List.of(), true, now));
+            first.forEach(job -> place(job, List.of(), one, false, now));
         }
     }
 
+    /** The order of the paper, which knows no ranks. */
+    private static List<Job> byArrival(List<Job> jobs) {
+        List<Job> list = new ArrayList<>(jobs);
+        list.sort((a, b) -> Long.compareUnsigned(a.order, b.order));
+        return list;
+    }
+
     /**
      * Exception to the design (docs/design.md, "production first"): services go where their image is, and stop lower work
      * anywhere.
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -246,6 +246,10 @@
         planner.fill(m, now);
     }
 
+    boolean severalTeams() {
+        return settings.teams().size() > 1;
+    }
+
     /** Whether one more task keeps its team's limit. Machines of earlier terms may hold tasks nobody here has counted. */
     public boolean withinLimit(JobSpec spec) {
         Settings.Team team = settings.teams().get(spec.team());
--- a/src/test/java/org/hollypick/PlannerTest.java
+++ b/src/test/java/org/hollypick/PlannerTest.java
@@ -88,6 +88,37 @@
         assertTrue(started > 30_000, "little was placed: " + started);
     }
 
+    /** Of the machines that come free one after the other, how many go to older work of lower rank beside a flood of higher rank. */
+    private static int toTheLower(int teams) {
+        Map<String, Settings.Team> of = new TreeMap<>();
+        for (int i = 0; i < teams; i++) {
+            of.put("t" + i, new Settings.Team("t" + i, 0, 0, 0, 0));
+        }
+        Settings settings = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a", "b"), of, List.of(), 3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+        Scheduler s = new Scheduler(5, settings, 0.3, new Leases(settings, List.of(), 0, true));
+        Job lower = s.addJob(batch("req-0", JobSpec.Rank.LOW), 0, 5);
+        s.addJob(batch("req-1", JobSpec.Rank.HIGH), 1, 5);
+        s.pass(10);
+        for (int i = 0; i < 120; i++) {
+            Machine m = s.addMachine("n-" + i, SMALL, "a", false, false, 10);
+            m.registered = true;
+            s.ledger.report(m, report(m, 1), true, 10);
+            s.fill(m, 10);
+        }
+        return lower.live.size() / 8;
+    }
+
+    private static JobSpec batch(String id, JobSpec.Rank rank) {
+        return new JobSpec(id, "batch", "t0", false, rank, 2_000, 1, 0, 2, null, null, false, false, true, "img", 1, 10, 0, 0, Double.NaN);
+    }
+
+    /** Strict rank gave a lower class nothing for as long as a flood lasted; with one team nothing may change. */
+    @Test
+    void aFloodOfHigherRankLeavesOlderWorkItsFloor() {
+        assertEquals(0, toTheLower(1));
+        assertEquals(120 / Constants.FLOOR_EVERY, toTheLower(2));
+    }
+
     private static Map<String, String> where(Scheduler s) {
         Map<String, String> where = new TreeMap<>();
         s.machines.values().forEach(m -> m.placements.values().forEach(p -> where.put(p.taskId, m.id + (p.stop ? " stopped" : ""))));
