--- a/src/main/java/org/hollypick/io/Sockets.java
+++ b/src/main/java/org/hollypick/io/Sockets.java
@@ -1,6 +1,7 @@
 package org.hollypick.io;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import org.hollypick.config.Constants;
 
@@ -56,15 +57,6 @@
         return open.get(kind) < floors.get(kind) || spare() > 0;
     }
 
-    /** Whether not even one more can be given out. */
-    public boolean full() {
-        int all = 0;
-        for (int n : open.values()) {
-            all += n;
-        }
-        return all >= limit;
-    }
-
     /** Whether a connection of that kind should be closed after its answer. */
     public boolean crowded(Kind kind) {
         return open.get(kind) > floors.get(kind) && spare() < 0;
@@ -75,7 +67,7 @@
     public String toString() {
         StringBuilder s = new StringBuilder("limit=" + limit);
         for (Kind k : Kind.values()) {
-            s.append(' ').append(k.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(open.get(k)).append('/').append(most.get(k)).append('/')
+            s.append(' ').append(k.name().toLowerCase(Locale.ROOT)).append('=').append(open.get(k)).append('/').append(most.get(k)).append('/')
                     .append(floors.get(k));
         }
         return s.toString();
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -19,7 +19,6 @@
 import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
-import org.hollypick.io.Sockets;
 
 /** A short day: three controllers, users, machines and faults drawn from a seed, with every rule checked. */
 final class Day {
@@ -48,8 +47,7 @@
 
         void start() {
             process = world.new Process("bothy-" + index, rate);
-            process.sockets = sockets > 0 ? new Sockets(sockets) : null;
-            process.costMs = costMs;
+            process.limit(sockets, costMs);
             node = old ? production.controller(process, settings(index, false)) : Controller.of(version.apply(process, settings(index, tightened != null)));
             process.after(0, node::start);
         }
@@ -432,10 +430,7 @@
     void limit(int sockets, double costMs) {
         this.sockets = sockets;
         this.costMs = costMs;
-        hosts.forEach(h -> {
-            h.process.sockets = new Sockets(sockets);
-            h.process.costMs = costMs;
-        });
+        hosts.forEach(h -> h.process.limit(sockets, costMs));
     }
 
     String lead() {
--- a/src/test/java/org/hollypick/sim/World.java
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -16,6 +16,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.hollypick.io.Call;
 import org.hollypick.io.Reply;
 import org.hollypick.config.Constants;
@@ -155,10 +156,11 @@
 
         private final String host;
         /** Its connections; null: as many as it likes. A machine's stays open until it is closed after an answer, or unused for long. */
-        Sockets sockets;
+        private Sockets sockets;
+        private int limit;
         private final Map<String, Long> reporters = new HashMap<>();
         /** Milliseconds of processor time for each thing that it does; 0: none. What it can't do at once waits its turn. */
-        double costMs;
+        private double costMs;
         private final ArrayDeque<Runnable> turn = new ArrayDeque<>();
         private double busyUntil;
         private boolean draining;
@@ -222,12 +224,18 @@
             }
         }
 
+        void limit(int sockets, double costMs) {
+            this.sockets = sockets > 0 ? new Sockets(sockets) : null;
+            this.limit = sockets;
+            this.costMs = costMs;
+        }
+
         /** A report arrives: false if there is no socket for its connection. */
         boolean accepts(String from) {
             if (sockets == null || reporters.put(from, now) != null) {
                 return true;
             }
-            if (sockets.full()) {
+            if (Stream.of(Sockets.Kind.values()).mapToInt(sockets::open).sum() >= limit) {
                 reporters.remove(from);
                 return false;
             }
