--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -423,7 +423,12 @@
     }
 
     void crashAll() {
-        hosts.forEach(h -> h.crash(4_000 + world.random.nextInt(4_000)));
+        hosts.forEach(h -> h.crash(restartMs(4_000)));
+    }
+
+    /** How long an ended process is away: a fraction of a second as often as seconds. */
+    private long restartMs(int slowMs) {
+        return world.random.nextBoolean() ? 50 + world.random.nextInt(950) : slowMs + world.random.nextInt(slowMs);
     }
 
     /** From now on each controller has no more sockets than that, and everything that it does takes it so long. */
@@ -497,7 +502,7 @@
         int node = world.random.nextInt(3);
         long ms = 1_000 + world.random.nextInt(30_000);
         switch (world.random.nextInt(12)) {
-            case 0, 1 -> crash(node, 2_000 + world.random.nextInt(20_000));
+            case 0, 1 -> crash(node, restartMs(10_000));
             case 2 -> crashAll();
             case 3 -> state.outage(ms);
             case 4 -> {
