--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -11,6 +11,7 @@
 import org.hollypick.cluster.Membership;
 import org.hollypick.cluster.Keeper;
 import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.PeerReach;
 import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
@@ -26,6 +27,7 @@
 import org.hollypick.io.Runtime;
 import org.hollypick.relay.Relay;
 import org.hollypick.relay.RelayCodec;
+import org.hollypick.mesh.Ways;
 import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerClient;
@@ -82,7 +84,7 @@
         this.graphs = operator.graphs() ? new GraphApi(runtime, settings, view, membership, users, () -> term, () -> types.isEmpty() ? null : types) : null;
         this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled,
                 () -> term != null && term.scheduler.leases.allAsked(), this::kept);
-        this.relay = new Relay(runtime, settings, membership, keeper, report -> term != null && term.acting() ? hello(report, settings.node()) : null);
+        this.relay = new Relay(runtime, settings, membership, state, keeper, report -> term != null && term.acting() ? hello(report, settings.node()) : null);
     }
 
     public void start() {
@@ -132,8 +134,7 @@
                 return;
             }
             state.setOwner(true);
-            term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, () -> membership.entitled(baton),
-                    membership::reachesState, () -> membership.fence(baton), membership::mayResign, membership::resign, membership.terms() == 1, maker);
+            term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, membership, maker);
             term.start();
         }
         membership.claimIfFree();
@@ -186,7 +187,7 @@
         if (path.equals("/promise") && method.equals("POST")) {
             JsonNode body = Codec.read(bytes, true);
             long baton = body == null ? 0 : Codec.u64(body.path("baton"));
-            answer.accept(Answer.of(200, Codec.object().put("promised", membership.promise(baton)).put("reaches_state", membership.reachesState())));
+            answer.accept(Answer.of(200, membership.promised(baton)));
             return;
         }
         if (path.equals("/keep") && method.equals("POST")) {
@@ -201,9 +202,17 @@
                     : Answer.later("not the owner"));
             return;
         }
-        if (path.equals("/reach") && method.equals("POST")) {
+        if (path.equals("/release") && method.equals("POST")) {
             JsonNode body = Codec.read(bytes, true);
-            Term.reach(runtime, body == null ? Codec.object() : body, membership.reachesState(), answer);
+            answer.accept(relay.release(body == null ? 0 : Codec.u64(body.path("member"))));
+            return;
+        }
+        if ((path.equals(Ways.PATH) || path.equals(Ways.WATCH_PATH)) && method.equals("POST")) {
+            state.ways().pass(Codec.read(bytes, true), answer);
+            return;
+        }
+        if (path.equals(PeerReach.PATH) && method.equals("POST")) {
+            PeerReach.answer(workers, Codec.read(bytes, true), membership.reachesState(), answer);
             return;
         }
         if (graphs != null && path.equals("/graph") && method.equals("POST")) {
--- a/src/main/java/org/hollypick/cli/Main.java
+++ b/src/main/java/org/hollypick/cli/Main.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
+import java.net.BindException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -16,6 +17,8 @@
 import org.hollypick.io.HttpServer;
 import org.hollypick.io.Network;
 import org.hollypick.io.Sockets;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -100,10 +103,18 @@
 
     /** A named class, loaded before the worker runs: a lambda would be linked beside it. */
     private static final class Starter implements Runnable {
+        /** Not Main's: the log is configured once that is loaded. */
+        private static final Logger LOG = LoggerFactory.getLogger(Main.class);
+
         private final Settings settings;
         private final OperatorSettings operator;
         private final CompletableFuture<Undertow> started;
         private XnioWorker worker;
+        private DefaultByteBufferPool buffers;
+        private Sockets sockets;
+        private Network network;
+        private Node node;
+        private int tries;
 
         Starter(Settings settings, OperatorSettings operator, CompletableFuture<Undertow> started) {
             this.settings = settings;
@@ -114,16 +125,32 @@
         @Override
         public void run() {
             try {
-                DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
-                Sockets sockets = new Sockets(settings.sockets());
-                Network network = new Network(worker.getIoThread(), buffers, sockets, Set.copyOf(List.of(settings.state(), settings.cloud())),
+                buffers = new DefaultByteBufferPool(true, 8 * 1024, 200, 0);
+                sockets = new Sockets(settings.sockets());
+                network = new Network(worker.getIoThread(), buffers, sockets, Set.copyOf(List.of(settings.state(), settings.cloud())),
                         (int) (settings.sockets() * Constants.IDLE_SOCKETS));
-                Node node = new Node(network, settings, operator);
+                node = new Node(network, settings, operator);
+                listen();
+            } catch (RuntimeException | Error e) {
+                started.completeExceptionally(e);
+            }
+        }
+
+        /** An address may still be taken for a moment by an earlier process: ending for that would only start the next one. */
+        private void listen() {
+            try {
                 Undertow server = HttpServer.start(worker, buffers, sockets, settings.publicAddr(), node::handle, settings.meshAddr(), node::handleMesh);
                 network.after(0, node::start);
                 started.complete(server);
-            } catch (RuntimeException | Error e) {
-                started.completeExceptionally(e);
+            } catch (RuntimeException e) {
+                if (!(e.getCause() instanceof BindException) || ++tries >= Constants.LISTEN_TRIES) {
+                    started.completeExceptionally(e);
+                    return;
+                }
+                if (tries == 1) {
+                    LOG.error("address taken, trying again users={} mesh={} reason={}", settings.publicAddr(), settings.meshAddr(), e.getCause().getMessage());
+                }
+                network.after(Constants.LISTEN_AGAIN_MS, this::listen);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/org/hollypick/cluster/Candidate.java
@@ -0,0 +1,155 @@
+package org.hollypick.cluster;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.links.Turn;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.worker.WorkerClient;
+
+/**
+ * How well this controller could lead, measured when it matters: some machines of each zone are asked directly, and by way of the others. One that reaches few
+ * leaves a free lead to others for a while; an owner gives it up only to one that reaches what it reaches by all ways together.
+ */
+public final class Candidate {
+    /** Of the machines asked: how many answered this controller, how many only another, and how many the one that reached most. */
+    public record Measured(int asked, int direct, int byPeers, int bestPeer) {
+        /** For how long a free lead is left to others. */
+        public long waitMs() {
+            return Turn.waitMs(asked, direct, byPeers);
+        }
+
+        /** Nearly all machines are reached, by one way or another. */
+        public boolean reachesNearlyAll() {
+            return Turn.nearlyAll(asked, direct, byPeers);
+        }
+
+        /** Another one would lead better: alone it reaches as many as this one with all others, and more than this one alone. */
+        public boolean betterElsewhere() {
+            return Turn.better(direct, byPeers, bestPeer);
+        }
+    }
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final View view;
+    private final WorkerClient workers;
+
+    Candidate(Runtime runtime, Settings settings, View view) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.view = view;
+        this.workers = new WorkerClient(runtime);
+    }
+
+    /** One round of questions; {@code whole}: the others are asked too, even if most machines answer at once. */
+    void measure(boolean whole, Consumer<Measured> then) {
+        Map<String, String> asked = some();
+        if (asked.isEmpty()) {
+            then.accept(new Measured(0, 0, 0, 0));
+        } else {
+            new Round(asked, whole, then).begin();
+        }
+    }
+
+    /** Machines asked directly, and, if most leave that open for a moment, by way of the other controllers too. */
+    private final class Round {
+        private final Map<String, String> asked;
+        private final Set<String> direct = new HashSet<>();
+        private final Set<String> byPeers = new HashSet<>();
+        private final boolean whole;
+        private final Consumer<Measured> then;
+        private int bestPeer;
+        private int open;
+        private boolean peersAsked;
+        private boolean told;
+
+        Round(Map<String, String> asked, boolean whole, Consumer<Measured> then) {
+            this.asked = new HashMap<>(asked);
+            this.whole = whole;
+            this.then = then;
+        }
+
+        void begin() {
+            open = asked.size();
+            new HashMap<>(asked).forEach((id, addr) -> workers.inspect(id, addr, Constants.TURN_ASK_MS, r -> {
+                if (r.ok()) {
+                    direct.add(id);
+                } else if (r.status() == Reply.LACK) {
+                    asked.remove(id); // it says nothing about the path
+                }
+                ended();
+            }));
+            runtime.after(Constants.TURN_PATIENCE_MS, this::askPeers);
+        }
+
+        private void askPeers() {
+            if (told || peersAsked) {
+                return;
+            }
+            peersAsked = true;
+            for (Settings.Sibling s : settings.siblings()) {
+                open++;
+                PeerReach.ask(runtime, s.addr(), asked, answered -> {
+                    if (answered != null) {
+                        byPeers.addAll(answered.reached());
+                        // One without a way to the state service can't lead, whatever it reaches.
+                        bestPeer = answered.reachesState() ? Math.max(bestPeer, answered.reached().size()) : bestPeer;
+                    }
+                    ended();
+                });
+            }
+        }
+
+        private void ended() {
+            open--;
+            if (told) {
+                return;
+            }
+            if (!whole && Turn.enough(asked.size(), direct.size())) {
+                told = true;
+                then.accept(new Measured(asked.size(), direct.size(), 0, 0));
+            } else if (open == 0 && !peersAsked) {
+                askPeers();
+            } else if (open == 0) {
+                told = true;
+                byPeers.removeAll(direct);
+                byPeers.retainAll(asked.keySet());
+                then.accept(new Measured(asked.size(), direct.size(), byPeers.size(), bestPeer));
+            }
+        }
+    }
+
+    /** As many of each zone, not always the same: their addresses. */
+    private Map<String, String> some() {
+        Map<String, List<Map.Entry<String, JsonNode>>> byZone = new LinkedHashMap<>();
+        view.entries().forEach((key, e) -> {
+            if (key.startsWith(Keys.MACHINES)) {
+                e.data().fields().forEachRemaining(m -> {
+                    if (!m.getValue().path("addr").asText().isEmpty()) {
+                        byZone.computeIfAbsent(m.getValue().path("zone").asText(), z -> new ArrayList<>()).add(m);
+                    }
+                });
+            }
+        });
+        Map<String, String> some = new LinkedHashMap<>();
+        for (List<Map.Entry<String, JsonNode>> zone : byZone.values()) {
+            int count = Math.min(zone.size(), Constants.TURN_MACHINES);
+            long from = Math.floorMod(runtime.now(), (long) zone.size());
+            for (int i = 0; i < count; i++) {
+                Map.Entry<String, JsonNode> m = zone.get((int) ((from + (long) i * zone.size() / count) % zone.size()));
+                some.put(m.getKey(), m.getValue().path("addr").asText());
+            }
+        }
+        return some;
+    }
+}
--- a/src/main/java/org/hollypick/cluster/Keys.java
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -4,8 +4,6 @@
 public final class Keys {
     public static final String PREFIX = "h/";
     public static final String ROSTER = "h/roster";
-    /** Nothing is ever written here. */
-    public static final String NEVER = "h/never";
     private static final String MEMBER = "h/n/";
     public static final String JOB = "h/j/";
     public static final String PROGRESS = "h/p/";
@@ -14,6 +12,8 @@
     /** Sorts behind the jobs: a read by pages that shows a job shows all that its record names here. */
     private static final String AWAITED = "h/w/";
 
+    /** What a controller tells an owner that it doesn't reach. */
+    public static final String PLEA = "h/l/";
     public static final String LEARNED = "h/e/";
     /** Sorts behind the jobs, as what they await does. */
     public static final String GRAPH_LOG = "h/x/";
@@ -60,6 +60,10 @@
         return Long.parseUnsignedLong(key.substring(key.lastIndexOf('/') + 1));
     }
 
+    public static String plea(String node) {
+        return PLEA + node;
+    }
+
     public static String sizes(String node) {
         return SIZES + node;
     }
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -1,10 +1,12 @@
 package org.hollypick.cluster;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.longs.LongArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.core.Leases;
@@ -26,17 +28,13 @@
     private final StateClient state;
     private final Settings settings;
     private final View view;
+    private final Candidate candidate;
     private final Runnable changed;
     private final int rank;
 
     private long tenancy;
     private boolean held;
     private long holdUntil;
-    /** The leader that the roster names still has its member key. */
-    public boolean leaderIsThere() {
-        return !free();
-    }
-
     /** The stamp of this incarnation's member key; 0 while there is none. */
     private long memberStamp;
     private long renewedAt;
@@ -51,6 +49,8 @@
     /** What an earlier self let others answer for it is over. */
     private final long rightsOver;
     private int incarnation;
+    /** The newest roster that another controller told of. */
+    private Owner told;
     /** When this node gave up its lead, by the time of day; told with its member key, so that all know. */
     private final LongArrayList resigned = new LongArrayList();
 
@@ -59,6 +59,7 @@
         this.state = state;
         this.settings = settings;
         this.view = view;
+        this.candidate = new Candidate(runtime, settings, view);
         this.changed = changed;
         TreeSet<String> names = new TreeSet<>(List.of(settings.node()));
         settings.siblings().forEach(s -> names.add(s.node()));
@@ -73,7 +74,7 @@
     public void start() {
         state.get(Keys.member(settings.node()), r -> {
             if (r.ok() && r.body().path("tenancy").isNumber()) {
-                endEarlier(Codec.u64(r.body().path("tenancy")));
+                endEarlier(Codec.u64(r.body().path("tenancy")), Codec.u64(r.body().path("stamp")));
             } else if (r.ok() || r.status() == 404) {
                 join();
             } else {
@@ -83,8 +84,8 @@
     }
 
     /** Not before others have certainly stopped passing on what the earlier self answered. */
-    private void endEarlier(long old) {
-        runtime.after(Math.max(0, rightsOver - runtime.now()), () -> state.end(old, e -> {
+    private void endEarlier(long old, long member) {
+        released(member, rightsOver - runtime.now(), () -> state.end(old, e -> {
             LOG.info("ended the hold of the earlier self tenancy={} status={}", Long.toUnsignedString(old), e.status());
             if (e.status() == 200 || e.status() == 204 || e.status() == 404) {
                 join();
@@ -94,6 +95,29 @@
         }));
     }
 
+    /**
+     * Goes on once no other controller passes on anything more that this node answered under that member key: when all of them have said so, or when the
+     * time for which they may is certainly over.
+     */
+    private void released(long member, long withinMs, Runnable then) {
+        boolean[] gone = {false};
+        Runnable once = () -> {
+            if (!gone[0]) {
+                gone[0] = true;
+                then.run();
+            }
+        };
+        runtime.after(Math.max(0, withinMs), once);
+        int[] missing = {settings.siblings().size()};
+        for (Settings.Sibling s : settings.siblings()) {
+            runtime.call(new Call(s.addr(), "POST", "/release", Codec.object().put("member", member), Constants.MESH_TIMEOUT_MS, true), r -> {
+                if (r.ok() && r.body().path("released").asBoolean() && --missing[0] == 0) {
+                    once.run();
+                }
+            });
+        }
+    }
+
     private void join() {
         int self = ++incarnation;
         held = false;
@@ -204,12 +228,15 @@
      * a while: only if all of them promise does it count.
      */
     private void askOthers() {
-        if (held && !settings.siblings().isEmpty() && runtime.now() - renewedAt > Constants.PROMISE_AFTER_MS) {
+        if (!settings.siblings().isEmpty() && runtime.now() - renewedAt > Constants.PROMISE_AFTER_MS) {
             long baton = baton();
             long sent = runtime.now();
             int[] missing = {settings.siblings().size()};
             for (Settings.Sibling s : settings.siblings()) {
                 runtime.call(new Call(s.addr(), "POST", "/promise", Codec.object().put("baton", baton), Constants.MESH_TIMEOUT_MS, true), r -> {
+                    if (r.ok()) {
+                        learn(r.body().path("roster"));
+                    }
                     if (r.ok() && r.body().path("reaches_state").asBoolean()) {
                         aloneUntil = runtime.now() + Constants.ALONE_MS;
                     }
@@ -237,7 +264,7 @@
      * Another controller asks this one not to claim. Granted only while this node's view shows the asker's member key in place:
      * then this node can't have a claim under way against that roster.
      */
-    public boolean promise(long baton) {
+    private boolean promise(long baton) {
         if (!view.loaded() || baton == 0 || rosterStamp() != baton || free()) {
             return false;
         }
@@ -259,6 +286,11 @@
         return entitled && baton != 0 && baton == baton();
     }
 
+    /** The hold that this node's keys are attached to; null while there is none that is certainly valid. */
+    public Long tenancy() {
+        return valid() ? tenancy : null;
+    }
+
     /** Until when this node may, or might, act as leader under this baton. */
     public long entitledUntil(long baton) {
         return Math.max(held ? holdUntil : Leases.NEVER, promisedBaton == baton ? promisedUntil : Leases.NEVER);
@@ -288,6 +320,44 @@
         return roster == null ? 0 : roster.data().path("terms").asLong();
     }
 
+    /** The leader that the roster names still has its member key. */
+    public boolean leaderIsThere() {
+        return !free();
+    }
+
+    /** Who leads by a roster: the node, the stamp of its member key, and the baton. */
+    public record Owner(String node, long member, long baton) {}
+
+    /** Who leads, as far as this node knows: by its view, or by the word of another that knows a newer roster while this one's view stands still. Null if nobody does. */
+    public Owner owner() {
+        if (toldNewer()) {
+            return told;
+        }
+        return free() ? null : new Owner(leader(), Codec.u64(view.get(Keys.ROSTER).data().path("member")), rosterStamp());
+    }
+
+    /** Another controller told of a newer roster than this node's view shows. Reports go there; everything else waits for the view. */
+    public boolean toldNewer() {
+        return told != null && Long.compareUnsigned(told.baton, rosterStamp()) > 0;
+    }
+
+    private void learn(JsonNode roster) {
+        long baton = Codec.u64(roster.path("baton"));
+        if (baton != 0 && (told == null || Long.compareUnsigned(baton, told.baton) > 0)) {
+            told = new Owner(roster.path("leader").asText(), Codec.u64(roster.path("member")), baton);
+        }
+    }
+
+    /** This node's answer to another that asks for a promise; it asks since it has no way to the state service, so it is told of the roster. */
+    public ObjectNode promised(long baton) {
+        ObjectNode answer = Codec.object().put("promised", promise(baton)).put("reaches_state", reachesState());
+        Owner owner = owner();
+        if (owner != null) {
+            answer.putObject("roster").put("leader", owner.node).put("member", owner.member).put("baton", owner.baton);
+        }
+        return answer;
+    }
+
     public long rosterStamp() {
         return view.stamp(Keys.ROSTER);
     }
@@ -317,6 +387,7 @@
     /** Gives up the lead, and this incarnation with it, so that another controller takes over. */
     public void resign() {
         long old = tenancy;
+        long member = memberStamp;
         resigned.add(runtime.timeOfDay());
         if (resigned.size() > Constants.RESIGN_DOUBLINGS) {
             resigned.removeLong(0);
@@ -324,7 +395,7 @@
         claimNotBefore = runtime.now() + Constants.RESIGNED_MS;
         join();
         // Others may still pass answers of this owner on, for as long as it told them.
-        runtime.after(possibly(Constants.RELAY_RIGHT_MS),
+        released(member, possibly(Constants.RELAY_RIGHT_MS),
                 () -> state.end(old, r -> LOG.info("resigned tenancy={} status={}", Long.toUnsignedString(old), r.status())));
         changed.run();
     }
@@ -342,18 +413,31 @@
             });
             return;
         }
-        runtime.after(rank * Constants.CLAIM_STEP_MS, () -> {
-            if (memberStamp == 0 || !valid() || !free() || promised()) {
-                claiming = false;
-                return;
+        runtime.after(rank * Constants.CLAIM_STEP_MS, () -> candidate.measure(false, m -> {
+            long ms = m.waitMs();
+            if (ms > 0) {
+                LOG.info("few machines answer, leaving the lead to others for ms={} measured={}", ms, m);
             }
+            runtime.after(ms, this::claim);
+        }));
+    }
+
+    /** Asks some machines, and the others about them: who would lead best? */
+    public void measure(Consumer<Candidate.Measured> then) {
+        candidate.measure(true, then);
+    }
+
+    private void claim() {
+        if (memberStamp == 0 || !valid() || !free() || promised()) {
+            claiming = false;
+        } else {
             String leader = leader();
             StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, rosterStamp()).when(Keys.member(settings.node()), memberStamp);
             if (leader != null && !leader.equals(settings.node())) {
                 txn.when(Keys.member(leader), view.stamp(Keys.member(leader)));
             }
             write(txn, leader == null ? "first" : "after " + leader);
-        });
+        }
     }
 
     /** Writes the roster again, as it is: its new stamp is a new baton, under which no older order is executed any more. */
--- /dev/null
+++ b/src/main/java/org/hollypick/cluster/PeerReach.java
@@ -0,0 +1,72 @@
+package org.hollypick.cluster;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.hollypick.worker.WorkerClient;
+
+/** The question of one controller to another which of some machines answer that one. */
+public final class PeerReach {
+    public static final String PATH = "/reach";
+
+    /** {@code tells}: it is of a version that says what it tried in vain. */
+    public record Told(boolean reachesState, List<String> reached, boolean tells, List<String> failed) {}
+
+    private PeerReach() {}
+
+    /** Asks one peer about machines, by their addresses; null if it didn't answer. */
+    public static void ask(Runtime runtime, String peer, Map<String, String> machines, Consumer<Told> then) {
+        ObjectNode body = Codec.object();
+        ObjectNode addresses = body.putObject("machines");
+        machines.forEach(addresses::put);
+        runtime.call(new Call(peer, "POST", PATH, body, Constants.REACH_TIMEOUT_MS, true), r -> then.accept(!r.ok() ? null
+                : new Told(r.body().path("reaches_state").asBoolean(), names(r.body().path("reached")), r.body().has("failed"), names(r.body().path("failed")))));
+    }
+
+    private static List<String> names(JsonNode list) {
+        List<String> names = new ArrayList<>();
+        list.forEach(n -> names.add(n.asText()));
+        return names;
+    }
+
+    /** The asked one's side: it tries them all at once. */
+    public static void answer(WorkerClient workers, JsonNode body, boolean reachesState, Consumer<Answer> answer) {
+        ObjectNode told = Codec.object().put("reaches_state", reachesState);
+        ArrayNode reached = told.putArray("reached");
+        ArrayNode failed = told.putArray("failed");
+        List<Map.Entry<String, JsonNode>> asked = new ArrayList<>();
+        if (body != null) {
+            body.path("machines").fields().forEachRemaining(f -> {
+                if (f.getValue().isTextual() && f.getValue().asText().contains(":") && asked.size() < Constants.REACH_MACHINES) {
+                    asked.add(f);
+                }
+            });
+        }
+        int[] open = {asked.size()};
+        if (open[0] == 0) {
+            answer.accept(Answer.of(200, told));
+        }
+        for (Map.Entry<String, JsonNode> m : asked) {
+            workers.inspect(m.getKey(), m.getValue().asText(), Constants.REACH_INSPECT_MS, r -> {
+                if (r.ok()) {
+                    reached.add(m.getKey());
+                } else if (r.status() != Reply.LACK) {
+                    failed.add(m.getKey());
+                }
+                if (--open[0] == 0) {
+                    answer.accept(Answer.of(200, told));
+                }
+            });
+        }
+    }
+}
--- a/src/main/java/org/hollypick/cluster/View.java
+++ b/src/main/java/org/hollypick/cluster/View.java
@@ -81,7 +81,7 @@
         reading = true;
         List<Consumer<Boolean>> batch = asking;
         asking = new ArrayList<>();
-        state.get(Keys.NEVER, r -> {
+        state.epoch(r -> {
             if (r.status() == 404 && loaded) {
                 catchingUp.add(new CatchUp(Codec.u64(r.body().path("epoch")), runtime.now() + Constants.CATCH_UP_MS, batch));
                 runtime.after(Constants.CATCH_UP_MS, this::caughtUp);
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -60,6 +60,41 @@
     /** Machines that others reach and this owner doesn't, from which on another should lead: two may be chance, packets lost or a slow machine. */
     public static final int REACH_AT_FAULT = 3;
 
+    // ---- ways round a cut link ----
+    /** Milliseconds without any answer after which a call to the state service goes another way: usual ones take ten, now and then one a few hundred. */
+    public static final long WAY_PATIENCE_MS = 500;
+    /** Milliseconds until a way that failed is tried again: at most one small call a second each. */
+    public static final long WAY_AGAIN_MS = 1_000;
+    /** Calls of other controllers that one passes on at a time: their own limits keep them to some tens a second. */
+    public static final int WAY_PASSING = 48;
+    /** Milliseconds for a call that is passed on, at most: as long as a watch. */
+    public static final long WAY_PASSED_MS = 10_000;
+    /** Machines of each zone that a controller asks before it claims the lead: some always hang, and a tenth doesn't decide. */
+    public static final int TURN_MACHINES = 8;
+    /** Milliseconds for their answers: with fewer than half of them the claim waits anyway. */
+    public static final long TURN_ASK_MS = 700;
+    /** Milliseconds after which the other controllers are asked about those that haven't answered: usual answers take a few. */
+    public static final long TURN_PATIENCE_MS = 150;
+    /** Milliseconds for which a controller that reaches no machine leaves a free lead to others, beside the next two: they measure for a second. */
+    public static final long TURN_MAX_MS = 2_000;
+    /** Milliseconds that all machines out of reach make, each its part: more than ranks and measuring differ by. */
+    public static final long TURN_STEP_MS = 1_200;
+    /** Milliseconds that it makes if all are reached by way of another controller only: less than what reaching half of them makes. */
+    public static final long TURN_PEER_MS = 300;
+    /** Share of what an owner reaches by all ways that another must reach alone to lead better: one machine of a sample may hang. */
+    public static final double TURN_BETTER = 0.9;
+    /** Milliseconds between a controller's words to an owner that it doesn't reach, while machines come to it that the owner may miss. */
+    public static final long PLEA_EVERY_MS = 2_500;
+    /** Milliseconds for which reports can't be handed on before that: an owner's crash shows in the roster by then. */
+    public static final long PLEA_AFTER_MS = 2_000;
+    /** Milliseconds for which a machine counts as one that comes here: it asks each controller in turn, some seconds each. */
+    public static final long PLEA_MEMORY_MS = 10_000;
+    /** Machines named in it at most: some are enough to show that there are some. */
+    public static final int PLEA_MACHINES = 16;
+    /** Part of the workers' lease for which an owner hears of nearly no machine until it goes, whatever the pause between resignations: the successor
+     * needs some seconds, and what isn't answered then ends. */
+    public static final double CUT_OFF_LEASE = 1 / 3.0;
+
     // ---- kept leases ----
     /** Milliseconds between two questions of a controller to the owner whether it may keep leases: one small call a second. */
     public static final long KEEP_EVERY_MS = 1_000;
@@ -142,6 +177,12 @@
     /** The format of those records; newer ones are left alone. */
     public static final int LEARNED_FORMAT = 1;
 
+    // ---- start ----
+    /** Milliseconds until an address that is taken is tried again. */
+    public static final long LISTEN_AGAIN_MS = 500;
+    /** Times that it is tried: half a minute; then another program has it, and the end says so. */
+    public static final int LISTEN_TRIES = 60;
+
     // ---- calls ----
     /** Milliseconds for a call to the state service; normal answers take 10 ms, a few hundred at times. */
     public static final long STATE_TIMEOUT_MS = 2_000;
--- a/src/main/java/org/hollypick/control/Silence.java
+++ b/src/main/java/org/hollypick/control/Silence.java
@@ -17,6 +17,7 @@
 
 /** What the machines' silence means: which are lost, which zones are dark, and whether it is this owner that is cut off or overloaded. */
 final class Silence {
+    private final Runtime runtime;
     private final Settings settings;
     private final Scheduler scheduler;
     private final OwnTrouble own;
@@ -26,6 +27,9 @@
     private final RateBudget returns;
     /** Since when nearly no machine has answered; 0 if some do. */
     private long cutOffSince;
+    /** Since when others reach machines that this owner doesn't; 0 if there are none. */
+    private long beyondSince;
+    private long pleadedAt = -Constants.REACH_VALID_MS;
     /** Until when silence counts for nothing, since most machines, or most of a zone, were silent together. */
     private long troubleUntil;
     private Set<String> dark = Set.of();
@@ -33,6 +37,7 @@
 
     /** {@code probe}: asks a machine directly. */
     Silence(Runtime runtime, Settings settings, Scheduler scheduler, OwnTrouble own, Consumer<Machine> probe) {
+        this.runtime = runtime;
         this.settings = settings;
         this.scheduler = scheduler;
         this.own = own;
@@ -72,7 +77,7 @@
             if (m.unanswered > 0 && !m.addr.isEmpty()) {
                 unsure.add(m);
             }
-            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED && !Reach.spared(m, now)) {
+            if (quiet > Constants.SILENT_MS && m.unanswered >= Constants.UNANSWERED && !reach.spared(m, now)) {
                 if (reach.nobodyReaches(m, now)) {
                     silent.add(m);
                 }
@@ -81,7 +86,9 @@
             }
         }
         reach.ask(unsure);
-        seen = "talking=" + talking + " doubtful=" + doubtful + " elsewhere=" + Reach.beyond(scheduler.machines.values(), now);
+        int beyond = Reach.beyond(scheduler.machines.values(), now);
+        beyondSince = beyond < Constants.REACH_AT_FAULT ? 0 : beyondSince > 0 ? beyondSince : now;
+        seen = "talking=" + talking + " doubtful=" + doubtful + " elsewhere=" + beyond;
         // Those that left a question open against those heard of just now: counting only the silent ones would give them up one by one
         // while this node is cut off from all of them.
         double share = doubtful / (double) Math.max(1, doubtful + talking);
@@ -126,6 +133,22 @@
         return dark;
     }
 
+    /** Machines have been out of reach for so long that what runs there won't outlast another pause. */
+    boolean leasesAtStake(long now) {
+        long since = Math.min(cutOffSince > 0 ? cutOffSince : now, beyondSince > 0 ? beyondSince : now);
+        return now - since > settings.leaseS() * 1_000 * Constants.CUT_OFF_LEASE;
+    }
+
+    void pleaded(List<String> machines) {
+        pleadedAt = machines.isEmpty() ? pleadedAt : runtime.now();
+        machines.forEach(reach::reached);
+    }
+
+    /** No other controller that could be asked knows better: none answers, or one that can't be asked pleaded. */
+    boolean nobodyTells(long now) {
+        return !reach.othersTell(now) || now - pleadedAt < Constants.REACH_VALID_MS;
+    }
+
     /**
      * Another controller should lead: it reaches machines that this one doesn't, and not since this one is overloaded or has only begun. If the others
      * see the same, nobody would fare better.
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -7,12 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.hollypick.records.JobCodec;
 import org.hollypick.cloud.CloudClient;
 import org.hollypick.cluster.Keeper;
 import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.Membership;
+import org.hollypick.relay.Plea;
 import org.hollypick.cluster.View;
 import org.hollypick.config.Constants;
 import org.hollypick.config.OperatorSettings;
@@ -56,11 +56,9 @@
     private final Progress progress;
     private final Cascade cascade;
     private final Dependencies dependencies;
-    private final BooleanSupplier entitled;
-    private final Runnable fence;
     private final Map<String, MachineType> types;
-    private final BooleanSupplier mayResign;
-    private final Runnable resign;
+    private final Membership membership;
+    private boolean measuring;
     private final Sizes sizes;
     private final Summary summary;
     public final Ends ends;
@@ -80,8 +78,7 @@
     private long nextSummary;
 
     public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
-            CloudClient cloud, WorkerClient client, Map<String, MachineType> types, BooleanSupplier entitled, BooleanSupplier reachesState, Runnable fence,
-            BooleanSupplier mayResign, Runnable resign, boolean nobodyBefore, Graphs.Maker maker) {
+            CloudClient cloud, WorkerClient client, Map<String, MachineType> types, Membership membership, Graphs.Maker maker) {
         this.baton = baton;
         this.runtime = runtime;
         this.settings = settings;
@@ -89,16 +86,14 @@
         this.dependencies = dependencies;
         this.state = state;
         this.types = types;
-        this.entitled = entitled;
-        this.fence = fence;
-        this.mayResign = mayResign;
-        this.resign = resign;
+        this.membership = membership;
         this.lastTick = runtime.now() - Constants.TICK_MS;
+        boolean nobodyBefore = membership.terms() == 1;
         this.own = new OwnTrouble(runtime.now());
         this.scheduler = new Scheduler(baton, settings, operator.firstShare(),
                 new Leases(settings, settings.siblings().stream().map(Settings.Sibling::node).toList(), runtime.now(), nobodyBefore), operator.estimates());
         this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, own, this::pump);
-        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, reachesState, this::pump, nobodyBefore);
+        this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, membership::reachesState, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
         this.progress = new Progress(runtime, view, state, settings, scheduler);
         this.cascade = new Cascade(runtime, view, state, settings, baton);
@@ -159,12 +154,7 @@
 
     /** Whether this node may act for this term now. */
     public boolean acting() {
-        return !ended && entitled.getAsBoolean();
-    }
-
-    /** Another controller asks which machines answer this one. */
-    public static void reach(Runtime runtime, JsonNode body, boolean reachesState, Consumer<Answer> answer) {
-        Reach.tryAll(runtime, body, reachesState, answer);
+        return !ended && membership.entitled(baton);
     }
 
     /** Another controller asks whether it may keep leases when it is cut off; its view holds every change up to {@code epoch}. */
@@ -182,6 +172,7 @@
     public void recordsChanged(Collection<String> keys) {
         long now = runtime.now();
         registry.changed(keys);
+        keys.stream().filter(k -> k.startsWith(Keys.PLEA) && view.get(k) != null).forEach(k -> workers.pleaded(Plea.machines(view.get(k).data(), baton)));
         for (String key : keys) {
             if (!key.startsWith(Keys.JOB)) {
                 continue;
@@ -272,9 +263,8 @@
             scheduler.tick(now);
             scheduler.passWanted |= now >= nextPass;
             rentals.giveBack(workers.silent(now), "silent");
-            if (workers.cutOff(now) && mayResign.getAsBoolean()) {
-                LOG.info("cut off from the machines, resigning baton={} {}", baton, workers.seen());
-                resign.run();
+            if (workers.cutOff(now) && (membership.mayResign() || workers.leasesAtStake(now))) {
+                resignIfBetter();
             }
             workers.contactUnheard();
             if (now >= nextList) {
@@ -285,7 +275,7 @@
                 nextFleet = now + Constants.FLEET_MS;
                 rentals.rentAndReturn(workers.dark(), now);
                 if (scheduler.ledger.fenceDue(now)) {
-                    fence.run();
+                    membership.fence(baton);
                 }
             }
             if (now >= nextSummary) {
@@ -303,6 +293,25 @@
         runtime.after(Constants.TICK_MS, this::loop);
     }
 
+    /**
+     * Machines are out of reach from here: gives up the lead if another reaches, alone, what this owner does with the help of all; or if those that it can't ask may
+     * do better, unless it reaches nearly all by some way.
+     */
+    private void resignIfBetter() {
+        if (measuring) {
+            return;
+        }
+        measuring = true;
+        membership.measure(m -> {
+            measuring = false;
+            boolean unknown = workers.nobodyTells(runtime.now()) && !m.reachesNearlyAll();
+            if (acting() && (unknown || m.betterElsewhere())) {
+                LOG.info("cut off from the machines, resigning baton={} {} {}", baton, workers.seen(), m);
+                membership.resign();
+            }
+        });
+    }
+
     /** One look at what changed and its orders, shared by all events that come close together. */
     public void pump() {
         if (pumping || ended) {
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -220,4 +220,17 @@
     boolean cutOff(long now) {
         return silence.cutOff(now);
     }
+
+    /** Another controller that this one doesn't reach told, by the state service, that it hears of those machines. */
+    void pleaded(List<String> machines) {
+        silence.pleaded(machines);
+    }
+
+    boolean nobodyTells(long now) {
+        return silence.nobodyTells(now);
+    }
+
+    boolean leasesAtStake(long now) {
+        return silence.leasesAtStake(now);
+    }
 }
--- a/src/main/java/org/hollypick/io/HttpServer.java
+++ b/src/main/java/org/hollypick/io/HttpServer.java
@@ -45,7 +45,12 @@
                 .addHttpListener(open.getPort(), open.getHost(), handler(users, sockets, false))
                 .addHttpListener(inner.getPort(), inner.getHost(), handler(mesh, sockets, true))
                 .build();
-        server.start();
+        try {
+            server.start();
+        } catch (RuntimeException e) {
+            server.stop(); // one of the two may have been opened
+            throw e;
+        }
         return server;
     }
 
--- /dev/null
+++ b/src/main/java/org/hollypick/mesh/Ways.java
@@ -0,0 +1,228 @@
+package org.hollypick.mesh;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.core.links.Way;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Reply;
+import org.hollypick.io.Runtime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Calls to the state service: directly, or, while that way is cut, by way of another controller that reaches it. To the service and to whoever calls it is a
+ * longer path, nothing else: calls may be lost, late or carried out unheard on it as on any other (docs/safety.md, "By way of a peer").
+ */
+public final class Ways {
+    /** What other controllers are asked to pass on; watches have connections of their own. */
+    public static final String PATH = "/state";
+    public static final String WATCH_PATH = "/watch";
+
+    private static final int DIRECT = -1;
+    private static final Logger LOG = LoggerFactory.getLogger(Ways.class);
+
+    /** Whether a call may be sent a second time while the first may still be carried out. */
+    public enum Kind { ONCE, REPEATABLE, WATCH }
+
+    private final Runtime runtime;
+    private final Call probe;
+    private final List<Settings.Sibling> peers;
+    private final Way way;
+    /** Calls that went the direct way and watches, as long as they aren't answered. */
+    private final Set<Pending> waiting = new LinkedHashSet<>();
+    /** Calls of others that are under way from here. */
+    private int passing;
+
+    /** {@code probe}: a small call that shows whether the service answers directly. */
+    public Ways(Runtime runtime, List<Settings.Sibling> peers, Call probe) {
+        this.runtime = runtime;
+        this.peers = peers;
+        this.probe = probe;
+        this.way = new Way(peers.size(), runtime.now());
+    }
+
+    private final class Pending {
+        private final Call call;
+        private final Kind kind;
+        private Consumer<Reply> reply;
+        private int peer = DIRECT;
+
+        Pending(Call call, Kind kind, Consumer<Reply> reply) {
+            this.call = call;
+            this.kind = kind;
+            this.reply = reply;
+        }
+
+        /** The first answer counts. */
+        void end(Reply r) {
+            waiting.remove(this);
+            if (reply != null) {
+                Consumer<Reply> to = reply;
+                reply = null;
+                to.accept(r);
+            }
+        }
+
+        boolean over() {
+            return reply == null;
+        }
+    }
+
+    public void call(Call call, Kind kind, Consumer<Reply> reply) {
+        send(new Pending(call, kind, reply));
+    }
+
+    private void send(Pending p) {
+        int peer = way.peer(runtime.now());
+        if (peer < 0) {
+            direct(p);
+        } else if (p.kind == Kind.WATCH && !way.proven(peer)) {
+            call(probe, Kind.REPEATABLE, r -> {
+                if (r.status() > 0 && !p.over()) {
+                    send(p);
+                } else {
+                    p.end(Reply.noAnswer());
+                }
+            });
+        } else {
+            by(peer, p);
+        }
+    }
+
+    private void direct(Pending p) {
+        long sent = runtime.now();
+        p.peer = DIRECT;
+        waiting.add(p);
+        runtime.call(p.call, r -> {
+            heard(r, sent);
+            p.end(r);
+        });
+        if (p.kind != Kind.WATCH) {
+            runtime.after(Constants.WAY_PATIENCE_MS, () -> {
+                if (waiting.contains(p) && p.peer == DIRECT) {
+                    bad(sent);
+                }
+            });
+        }
+    }
+
+    /** What a direct call's answer, or its want, says of the way. */
+    private void heard(Reply r, long sent) {
+        if (r.status() > 0 && r.status() != 503) {
+            if (!way.direct()) {
+                LOG.info("the state service is reached directly again");
+            }
+            way.answered(runtime.now());
+        } else if (r.status() != Reply.LACK) {
+            bad(sent);
+        }
+    }
+
+    private void bad(long sent) {
+        if (!peers.isEmpty() && way.failed(sent)) {
+            LOG.info("the state service isn't reached directly, going by other controllers");
+            probeAgain();
+            endWatches(DIRECT);
+            for (Pending p : new ArrayList<>(waiting)) {
+                if (p.kind == Kind.REPEATABLE && p.peer == DIRECT && way.peer(runtime.now()) >= 0) {
+                    send(p);
+                }
+            }
+        }
+    }
+
+    private void probeAgain() {
+        runtime.after(Constants.WAY_AGAIN_MS, () -> {
+            if (!way.direct()) {
+                long sent = runtime.now();
+                runtime.call(probe, r -> heard(r, sent));
+                probeAgain();
+            }
+        });
+    }
+
+    private void by(int peer, Pending p) {
+        ObjectNode body = Codec.object().put("method", p.call.method()).put("path", p.call.path()).put("timeout_ms", p.call.timeoutMs());
+        body.set("body", p.call.body());
+        boolean[] answered = {false};
+        p.peer = peer;
+        if (p.kind == Kind.WATCH) {
+            waiting.add(p);
+        }
+        runtime.call(new Call(peers.get(peer).addr(), "POST", p.kind == Kind.WATCH ? WATCH_PATH : PATH, body, p.call.timeoutMs(), true), r -> {
+            answered[0] = true;
+            if (p.over()) {
+                return;
+            }
+            if (r.ok()) {
+                int status = r.body().path("status").asInt();
+                if (status <= 0 || status == 503) {
+                    peerFailed(peer);
+                } else {
+                    way.peerAnswered(peer);
+                }
+                p.end(new Reply(status, r.body().path("body")));
+            } else {
+                peerFailed(peer);
+                if (r.status() == Reply.NO_ANSWER) {
+                    p.end(r);
+                } else {
+                    send(p); // it wasn't passed on
+                }
+            }
+        });
+        if (p.kind != Kind.WATCH) {
+            runtime.after(Constants.WAY_PATIENCE_MS, () -> {
+                if (!answered[0] && !p.over()) {
+                    peerFailed(peer);
+                    if (p.kind == Kind.REPEATABLE) {
+                        send(p);
+                    }
+                }
+            });
+        }
+    }
+
+    private void peerFailed(int peer) {
+        way.peerFailed(peer, runtime.now());
+        endWatches(peer);
+    }
+
+    /** Whoever watches begins again, on another way. */
+    private void endWatches(int peer) {
+        for (Pending p : new ArrayList<>(waiting)) {
+            if (p.kind == Kind.WATCH && p.peer == peer) {
+                p.end(Reply.noAnswer());
+            }
+        }
+    }
+
+    /** Another controller asks this one to pass a call on. Only what can be sent directly is: so no call goes in circles. */
+    public void pass(JsonNode body, Consumer<Answer> answer) {
+        if (body == null || !way.direct() || passing >= Constants.WAY_PASSING) {
+            answer.accept(Answer.later("no way from here"));
+            return;
+        }
+        passing++;
+        JsonNode content = body.path("body");
+        Call call = Call.of(probe.address(), body.path("method").asText(), body.path("path").asText(),
+                content.isNull() || content.isMissingNode() ? null : content, Math.min(body.path("timeout_ms").asLong(), Constants.WAY_PASSED_MS));
+        long sent = runtime.now();
+        runtime.call(call, r -> {
+            passing--;
+            heard(r, sent);
+            ObjectNode told = Codec.object().put("status", r.status());
+            told.set("body", r.body().isMissingNode() ? null : r.body());
+            answer.accept(Answer.of(200, told));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/hollypick/relay/Plea.java
@@ -0,0 +1,83 @@
+package org.hollypick.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.objects.Object2LongLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.hollypick.cluster.Keys;
+import org.hollypick.cluster.Membership;
+import org.hollypick.config.Constants;
+import org.hollypick.config.Settings;
+import org.hollypick.io.Codec;
+import org.hollypick.io.Runtime;
+import org.hollypick.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a controller that can't hand reports on tells the owner by way of the state service, when nothing else leads there: machines that come to it. If the
+ * owner misses them it is at fault. Only the decision who leads rests on it; it is attached to the hold and goes with it.
+ */
+public final class Plea {
+    private static final Logger LOG = LoggerFactory.getLogger(Plea.class);
+
+    private final Runtime runtime;
+    private final Settings settings;
+    private final Membership membership;
+    private final StateClient state;
+    /** Since when, and under which baton, reports haven't reached the owner; 0 if the last one did. */
+    private long since;
+    private long failing;
+    private long saidAt;
+    /** Machines whose reports couldn't be handed on, and when: they go from one controller to the next. */
+    private final Object2LongLinkedOpenHashMap<String> heard = new Object2LongLinkedOpenHashMap<>();
+
+    Plea(Runtime runtime, Settings settings, Membership membership, StateClient state) {
+        this.runtime = runtime;
+        this.settings = settings;
+        this.membership = membership;
+        this.state = state;
+        this.saidAt = runtime.now() - Constants.PLEA_EVERY_MS;
+    }
+
+    /** The owner took reports. */
+    void handedOn() {
+        since = 0;
+    }
+
+    /** The owner under that baton couldn't be told of those machines. */
+    void failed(long baton, Collection<String> machines) {
+        long now = runtime.now();
+        if (since == 0 || failing != baton) {
+            since = now;
+            failing = baton;
+            heard.clear();
+        }
+        machines.forEach(m -> heard.putAndMoveToLast(m, now));
+        while (!heard.isEmpty() && (heard.size() > Constants.PLEA_MACHINES || now - heard.getLong(heard.firstKey()) > Constants.PLEA_MEMORY_MS)) {
+            heard.removeFirstLong();
+        }
+        Long tenancy = membership.tenancy();
+        if (now - since < Constants.PLEA_AFTER_MS || now - saidAt < Constants.PLEA_EVERY_MS || tenancy == null || !membership.leaderIsThere() || heard.isEmpty()) {
+            return;
+        }
+        saidAt = now;
+        ObjectNode data = Codec.object().put("baton", baton);
+        ArrayNode names = data.putArray("machines");
+        heard.keySet().forEach(names::add);
+        LOG.info("the owner isn't reached, telling it by the state service baton={} machines={}", baton, names.size());
+        state.commitNow(new StateClient.Txn().when(Keys.ROSTER, baton).putLeased(Keys.plea(settings.node()), data, tenancy), r -> { });
+    }
+
+    /** The machines that such a record names, if it is meant for that owner. */
+    public static List<String> machines(JsonNode data, long baton) {
+        List<String> names = new ArrayList<>();
+        if (Codec.u64(data.path("baton")) == baton) {
+            data.path("machines").forEach(m -> names.add(m.asText()));
+        }
+        return names;
+    }
+}
--- a/src/main/java/org/hollypick/relay/Relay.java
+++ b/src/main/java/org/hollypick/relay/Relay.java
@@ -1,8 +1,11 @@
 package org.hollypick.relay;
 
+import it.unimi.dsi.fastutil.longs.LongOpenHashSet;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hollypick.cluster.Keeper;
@@ -15,6 +18,7 @@
 import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
+import org.hollypick.state.StateClient;
 import org.hollypick.worker.WorkerCodec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +34,7 @@
     private final Settings settings;
     private final Membership membership;
     private final Keeper keeper;
+    private final Plea plea;
     private final Function<byte[], Answer> own;
     private final ArrayDeque<Held> held = new ArrayDeque<>();
     private int heldBytes;
@@ -37,18 +42,22 @@
     private boolean due;
     private long notBefore;
     private int failures;
+    /** Member keys whose owner wants nothing of it passed on any more. */
+    private final LongOpenHashSet released = new LongOpenHashSet();
     /** Under this baton the owner is of a version that takes no bundles. */
     private long refusedBaton;
 
     private record Held(byte[] report, long until, Consumer<Answer> answer) {}
 
     /** {@code own}: the answer of this node itself while it is the owner, else null. */
-    public Relay(Runtime runtime, Settings settings, Membership membership, Keeper keeper, Function<byte[], Answer> own) {
+    public Relay(Runtime runtime, Settings settings, Membership membership, StateClient state, Keeper keeper,
+            Function<byte[], Answer> own) {
         this.runtime = runtime;
         this.settings = settings;
         this.membership = membership;
         this.keeper = keeper;
         this.own = own;
+        this.plea = new Plea(runtime, settings, membership, state);
     }
 
     /** A machine's report; the answer follows within the time that the machine waits. */
@@ -56,7 +65,7 @@
         Answer now = here(report);
         if (now != null) {
             answer.accept(now);
-        } else if (report.length > Constants.RELAY_BYTES || refusedBaton != 0 && refusedBaton == membership.rosterStamp()) {
+        } else if (report.length > Constants.RELAY_BYTES || refusedBaton != 0 && refusedBaton == baton()) {
             answer.accept(toOwner());
         } else if (held.size() >= Constants.RELAY_HELD || heldBytes + report.length > Constants.RELAY_HELD_BYTES) {
             answer.accept(Answer.later("too many reports wait"));
@@ -69,7 +78,7 @@
     /** The answer that this node can give by itself, as owner or since it keeps leases; null if there is none. */
     private Answer here(byte[] report) {
         Answer now = own.apply(report);
-        if (now == null && keeper.keeping()) {
+        if (now == null && !membership.toldNewer() && keeper.keeping()) {
             Report read = WorkerCodec.report(report);
             now = read == null ? Answer.error(400, "not a report") : keeper.answer(read);
         }
@@ -111,17 +120,23 @@
                 hold(h);
             }
         }
-        String owner = membership.leaderIsThere() ? settings.meshAddr(membership.leader()) : null;
+        Membership.Owner leads = membership.owner();
+        String owner = leads == null ? null : settings.meshAddr(leads.node());
         while (owner != null && now >= notBefore && open < Constants.RELAY_OPEN && !held.isEmpty()) {
-            send(owner, now);
+            send(owner, leads, now);
         }
         if (!held.isEmpty()) {
             flushSoon(Constants.RELAY_RETRY_MS);
         }
     }
 
-    private void send(String owner, long now) {
-        long baton = membership.rosterStamp();
+    private long baton() {
+        Membership.Owner owner = membership.owner();
+        return owner == null ? 0 : owner.baton();
+    }
+
+    private void send(String owner, Membership.Owner leads, long now) {
+        long baton = leads.baton();
         List<Held> bundle = new ArrayList<>();
         List<byte[]> reports = new ArrayList<>();
         int bytes = 0;
@@ -134,20 +149,22 @@
         open++;
         runtime.call(new Call(owner, "POST", RelayCodec.PATH, RelayCodec.bundle(settings.node(), baton, reports), Constants.RELAY_TIMEOUT_MS, true), r -> {
             open--;
-            answered(bundle, baton, now, r);
+            answered(bundle, leads, now, r);
             if (!held.isEmpty()) {
                 flushSoon(0);
             }
         });
     }
 
-    private void answered(List<Held> bundle, long baton, long sent, Reply r) {
+    private void answered(List<Held> bundle, Membership.Owner by, long sent, Reply r) {
+        long baton = by.baton();
         List<Answer> answers = r.ok() ? RelayCodec.answers(r.body()) : List.of();
         if (r.ok() && answers.size() == bundle.size()) {
             failures = 0;
+            plea.handedOn();
             long until = sent + Membership.certainly(RelayCodec.rightMs(r.body())); // the owner counted it from later on
             for (int i = 0; i < answers.size(); i++) {
-                bundle.get(i).answer.accept(answers.get(i).only(() -> runtime.now() < until && membership.rosterStamp() == baton));
+                bundle.get(i).answer.accept(answers.get(i).only(() -> runtime.now() < until && baton() == baton && !released.contains(by.member())));
             }
         } else if (r.status() == 404) {
             LOG.info("the owner takes no bundles of reports baton={}", baton);
@@ -156,12 +173,31 @@
         } else {
             // Sent again, until its time is over: the owner takes a report that it knows for what it is. More and more seldom: it may be overloaded.
             bundle.forEach(this::hold);
+            plea.failed(baton, machines(bundle));
             notBefore = runtime.now() + (Constants.RELAY_RETRY_MS << Math.min(failures++, Constants.RELAY_DOUBLINGS));
         }
     }
 
+    private static Set<String> machines(List<Held> bundle) {
+        Set<String> names = new LinkedHashSet<>();
+        for (Held h : bundle) {
+            Report read = names.size() < Constants.PLEA_MACHINES ? WorkerCodec.report(h.report) : null;
+            if (read != null) {
+                names.add(read.machine());
+            }
+        }
+        return names;
+    }
+
+    /** What an owner under that member key answered is dropped, and nothing of it passed on any more: it has ended, or has given up its lead. */
+    public Answer release(long member) {
+        released.add(member);
+        return Answer.of(200, Codec.object().put("released", member != 0));
+    }
+
     private Answer toOwner() {
-        String leader = membership.leader();
+        Membership.Owner owner = membership.owner();
+        String leader = owner == null ? membership.leader() : owner.node();
         return leader == null || leader.equals(settings.node()) ? Answer.later("not entitled to act") : RelayCodec.elsewhere(leader);
     }
 }
--- a/src/main/java/org/hollypick/state/StateClient.java
+++ b/src/main/java/org/hollypick/state/StateClient.java
@@ -13,10 +13,15 @@
 import org.hollypick.io.RateBudget;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
+import org.hollypick.mesh.Ways;
 
 /** The state service's protocol, inside this node's share of its limits. Leases never wait in the queue. */
 public final class StateClient {
+    /** Nothing is ever written here: the answer tells the epoch, and that there is a way. */
+    private static final String NEVER = "h/never";
+
     private final Runtime runtime;
+    private final Ways ways;
     private final String address;
     private final Settings settings;
     private final RateBudget requests;
@@ -25,7 +30,7 @@
     private int queuedPuts;
     private boolean draining;
 
-    private record Queued(Call call, int puts, long deadline, Consumer<Reply> reply) {}
+    private record Queued(Call call, Ways.Kind kind, int puts, long deadline, Consumer<Reply> reply) {}
 
     /** A transaction under construction. */
     public static final class Txn {
@@ -69,6 +74,7 @@
     public StateClient(Runtime runtime, Settings settings) {
         this.runtime = runtime;
         this.address = settings.state();
+        this.ways = new Ways(runtime, settings.siblings(), Call.of(address, "GET", "/keys/" + NEVER, null, Constants.WAY_AGAIN_MS));
         this.settings = settings;
         int nodes = settings.siblings().size() + 1;
         this.requests = new RateBudget(settings.stateRps() * Constants.STATE_BUDGET / nodes, runtime.now());
@@ -76,6 +82,11 @@
         setOwner(false);
     }
 
+    /** How calls get there; other controllers' too. */
+    public Ways ways() {
+        return ways;
+    }
+
     /** The owner's share of the writes is larger: progress and machines are its to record. */
     public void setOwner(boolean owner) {
         int others = Math.max(1, settings.siblings().size());
@@ -99,53 +110,59 @@
     }
 
     public void get(String key, Consumer<Reply> reply) {
-        submit(Call.of(address, "GET", "/keys/" + key, null, Constants.STATE_TIMEOUT_MS), 0, reply);
+        submit(Call.of(address, "GET", "/keys/" + key, null, Constants.STATE_TIMEOUT_MS), Ways.Kind.REPEATABLE, 0, reply);
+    }
+
+    /** The answer is 404 and tells the epoch. */
+    public void epoch(Consumer<Reply> reply) {
+        get(NEVER, reply);
     }
 
     public void list(String prefix, String from, Consumer<Reply> reply) {
         String path = "/keys?prefix=" + prefix + (from == null ? "" : "&from=" + from) + "&page=500";
-        submit(Call.of(address, "GET", path, null, Constants.STATE_TIMEOUT_MS), 0, reply);
+        submit(Call.of(address, "GET", path, null, Constants.STATE_TIMEOUT_MS), Ways.Kind.REPEATABLE, 0, reply);
     }
 
     public void commit(Txn txn, Consumer<Reply> reply) {
-        submit(Call.of(address, "POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS), txn.ops(), reply);
+        submit(Call.of(address, "POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS), Ways.Kind.ONCE, txn.ops(), reply);
     }
 
     /** Leadership and membership: ahead of the queue, like leases. */
     public void commitNow(Txn txn, Consumer<Reply> reply) {
         writes.take(txn.ops(), runtime.now());
-        urgent(Call.of(address, "POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS), reply);
+        urgent(Call.of(address, "POST", "/commit", txn.body(), Constants.STATE_TIMEOUT_MS), Ways.Kind.ONCE, reply);
     }
 
+    /** Asked twice, one of two holds is never used and ends by itself. */
     public void grant(long lifeMs, Consumer<Reply> reply) {
-        urgent(Call.of(address, "POST", "/holds", Codec.object().put("life_ms", lifeMs), Constants.STATE_TIMEOUT_MS), reply);
+        urgent(Call.of(address, "POST", "/holds", Codec.object().put("life_ms", lifeMs), Constants.STATE_TIMEOUT_MS), Ways.Kind.REPEATABLE, reply);
     }
 
     public void extend(long tenancy, Consumer<Reply> reply) {
-        urgent(Call.of(address, "POST", "/holds/" + Long.toUnsignedString(tenancy) + "/extend", Codec.object(), Constants.STATE_TIMEOUT_MS), reply);
+        urgent(Call.of(address, "POST", "/holds/" + Long.toUnsignedString(tenancy) + "/extend", Codec.object(), Constants.STATE_TIMEOUT_MS), Ways.Kind.REPEATABLE, reply);
     }
 
     public void end(long tenancy, Consumer<Reply> reply) {
-        urgent(Call.of(address, "DELETE", "/holds/" + Long.toUnsignedString(tenancy), null, Constants.STATE_TIMEOUT_MS), reply);
+        urgent(Call.of(address, "DELETE", "/holds/" + Long.toUnsignedString(tenancy), null, Constants.STATE_TIMEOUT_MS), Ways.Kind.REPEATABLE, reply);
     }
 
     public void watch(String prefix, long from, Consumer<Reply> reply) {
         urgent(Call.of(address, "GET", "/watch?prefix=" + prefix + "&from=" + Long.toUnsignedString(from) + "&wait_ms=" + Constants.WATCH_MS,
-                null, Constants.WATCH_MS + Constants.STATE_TIMEOUT_MS), reply);
+                null, Constants.WATCH_MS + Constants.STATE_TIMEOUT_MS), Ways.Kind.WATCH, reply);
     }
 
-    private void urgent(Call call, Consumer<Reply> reply) {
+    private void urgent(Call call, Ways.Kind kind, Consumer<Reply> reply) {
         requests.take(1, runtime.now());
-        runtime.call(call, reply);
+        ways.call(call, kind, reply);
     }
 
-    private void submit(Call call, int puts, Consumer<Reply> reply) {
+    private void submit(Call call, Ways.Kind kind, int puts, Consumer<Reply> reply) {
         if (full()) {
             reply.accept(Reply.notSent());
             return;
         }
         queuedPuts += puts;
-        queue.add(new Queued(call, puts, runtime.now() + Constants.STATE_QUEUE_MS, reply));
+        queue.add(new Queued(call, kind, puts, runtime.now() + Constants.STATE_QUEUE_MS, reply));
         drain();
     }
 
@@ -165,7 +182,7 @@
                 queuedPuts -= next.puts;
                 requests.take(1, now);
                 writes.take(next.puts, now);
-                runtime.call(next.call, next.reply);
+                ways.call(next.call, next.kind, next.reply);
             } else {
                 draining = true;
                 runtime.after(20, () -> {
--- a/src/main/java/org/hollypick/worker/WorkerClient.java
+++ b/src/main/java/org/hollypick/worker/WorkerClient.java
@@ -10,7 +10,7 @@
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
 
-/** Orders straight to a worker's address. */
+/** Orders and questions straight to a worker's address. */
 public final class WorkerClient {
     private final Runtime runtime;
 
@@ -23,4 +23,10 @@
         ObjectNode body = WorkerCodec.orders(baton, orders).put("tenure", tenure);
         runtime.call(Call.of(addr, "POST", "/commands", body, Constants.ORDER_TIMEOUT_MS).only(still), reply);
     }
+
+    /** Whether that machine answers: its report. */
+    public void inspect(String machine, String addr, long timeoutMs, Consumer<Reply> reply) {
+        runtime.call(Call.of(addr, "GET", "/inspect", null, timeoutMs),
+                r -> reply.accept(r.ok() && !r.body().path("bothy").asText().equals(machine) ? Reply.noAnswer() : r));
+    }
 }
--- /dev/null
+++ b/src/test/java/org/hollypick/LinksCoreTest.java
@@ -0,0 +1,109 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.hollypick.config.Constants;
+import org.hollypick.core.links.Turn;
+import org.hollypick.core.links.Way;
+
+/** Which way a call takes, and who leaves a free lead to whom, against plain rules over all that has happened. */
+class LinksCoreTest {
+    private static final int PEERS = 3;
+
+    /** Everything that happened to a way, looked through anew for each question. */
+    private record Happened(String what, int peer, long at, long sentAt) {}
+
+    private static boolean direct(List<Happened> all) {
+        boolean direct = true;
+        for (int i = 0; i < all.size(); i++) {
+            Happened h = all.get(i);
+            if (h.what.equals("answered")) {
+                direct = true;
+            } else if (h.what.equals("failed")) {
+                int upTo = i;
+                boolean outweighed = all.subList(0, upTo).stream().anyMatch(o -> o.what.equals("answered") && o.at > h.sentAt);
+                direct &= outweighed;
+            }
+        }
+        return direct;
+    }
+
+    private static boolean rests(List<Happened> all, int peer, long now) {
+        return all.stream().anyMatch(h -> h.what.equals("peerFailed") && h.peer == peer && now < h.at + Constants.WAY_AGAIN_MS);
+    }
+
+    private static boolean proven(List<Happened> all, int peer) {
+        for (int i = all.size() - 1; i >= 0; i--) {
+            Happened h = all.get(i);
+            if (h.what.equals("peerAnswered")) {
+                return h.peer == peer;
+            }
+            if (h.what.equals("peerFailed") && h.peer == peer) {
+                return false;
+            }
+        }
+        return false;
+    }
+
+    @Property(tries = 500)
+    void aWayIsWhatThePlainRulesSay(@ForAll long seed) {
+        Random random = new Random(seed);
+        long now = 1_000;
+        Way way = new Way(PEERS, now);
+        List<Happened> all = new ArrayList<>(List.of(new Happened("answered", -1, now, now)));
+        for (int step = 0; step < 60; step++) {
+            now += 1 + random.nextInt(700);
+            int peer = random.nextInt(PEERS);
+            long sentAt = now - random.nextInt(1_500);
+            switch (random.nextInt(4)) {
+                case 0 -> {
+                    way.answered(now);
+                    all.add(new Happened("answered", -1, now, sentAt));
+                }
+                case 1 -> {
+                    boolean before = direct(all);
+                    boolean turned = way.failed(sentAt);
+                    all.add(new Happened("failed", -1, now, sentAt));
+                    assertEquals(before && !direct(all), turned);
+                }
+                case 2 -> {
+                    way.peerFailed(peer, now);
+                    all.add(new Happened("peerFailed", peer, now, now));
+                }
+                default -> {
+                    way.peerAnswered(peer);
+                    all.add(new Happened("peerAnswered", peer, now, now));
+                }
+            }
+            assertEquals(direct(all), way.direct());
+            int chosen = way.peer(now);
+            boolean anyRested = false;
+            for (int p = 0; p < PEERS; p++) {
+                anyRested |= !rests(all, p, now);
+                assertEquals(proven(all, p), way.proven(p));
+            }
+            assertEquals(!direct(all) && anyRested, chosen >= 0, "a peer is chosen when the direct way is bad and one isn't at rest");
+            assertTrue(chosen < 0 || !rests(all, chosen, now));
+        }
+    }
+
+    /** Who reaches more never waits longer; needing no other is better; and reaching half of the machines is worth less than all of them by way of others. */
+    @Property(tries = 1_000)
+    void whoReachesMoreWaitsLess(@ForAll @IntRange(min = 1, max = 40) int asked, @ForAll @IntRange(max = 40) int direct, @ForAll @IntRange(max = 40) int byPeers) {
+        int d = Math.min(direct, asked);
+        int p = Math.min(byPeers, asked - d);
+        long wait = Turn.waitMs(asked, d, p);
+        assertTrue(wait >= 0 && wait <= Constants.TURN_MAX_MS + Constants.TURN_STEP_MS);
+        assertTrue(d == asked || Turn.waitMs(asked, d + 1, Math.min(p, asked - d - 1)) <= wait);
+        assertTrue(d + p == asked || Turn.waitMs(asked, d, p + 1) <= wait || Turn.enough(asked, d));
+        assertTrue(Turn.waitMs(asked, d, 0) >= Turn.waitMs(asked, d, asked - d) || Turn.enough(asked, d));
+        assertTrue(asked % 2 != 0 || Turn.waitMs(asked, asked / 2, 0) > Turn.waitMs(asked, 0, asked) + Constants.CLAIM_STEP_MS);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/cli/ProcessTest.java
@@ -0,0 +1,125 @@
+package org.hollypick.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process of its own, on loopback, with every outside system away: it is killed and started again at once. */
+class ProcessTest {
+    private static final int STARTS = 20;
+
+    @TempDir
+    Path folder;
+    private Process process;
+    private int users;
+    private int mesh;
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        }
+    }
+
+    private Path settings() throws IOException {
+        users = freePort();
+        mesh = freePort();
+        int away = freePort();
+        return Files.writeString(folder.resolve("settings.toml"), """
+                node_name = "bothy-0"
+                location = "a"
+                public_addr = "127.0.0.1:%d"
+                mesh_addr = "127.0.0.1:%d"
+                [services]
+                cloud = "127.0.0.1:%d"
+                state = "127.0.0.1:%d"
+                [params]
+                initial_size = 1
+                zones = ["a"]
+                skew_ms = 5.0
+                [params.workers]
+                report_s = 3.0
+                lease_s = 26.0
+                gang_wait_s = 30.0
+                gang_peer_s = 6.0
+                cancel_s = 46.0
+                [params.state]
+                rps = 150.0
+                write_rps = 50.0
+                value_kb = 16.0
+                txn_ops = 16
+                [params.cloud]
+                rps = 8.0
+                list_lag_s = 6.0
+                [params.resources]
+                cores = 0.34
+                mem_mb = 176.0
+                sockets = 200
+                """.formatted(users, mesh, away, away));
+    }
+
+    private void start(Path settings) throws IOException {
+        process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
+                System.getProperty("java.class.path"), "org.hollypick.cli.Main", "--config", settings.toString())
+                .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+    }
+
+    /** The answer's status, as soon as there is one; a fresh connection each time, as after an end. */
+    private int ready(long withinMs) throws Exception {
+        long until = System.nanoTime() + withinMs * 1_000_000;
+        while (System.nanoTime() < until && process.isAlive()) {
+            try {
+                return HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + users + "/ready")).timeout(Duration.ofSeconds(2)).build(),
+                        HttpResponse.BodyHandlers.discarding()).statusCode();
+            } catch (IOException e) {
+                Thread.sleep(20); // not listening yet
+            }
+        }
+        return -1;
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        process.destroyForcibly();
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+    }
+
+    /** Connections of the ended process linger on its port; the next one must listen there all the same. */
+    @Test
+    void itIsBackOnItsPortEachTimeThatItIsKilled() throws Exception {
+        Path settings = settings();
+        for (int i = 0; i < STARTS; i++) {
+            start(settings);
+            assertEquals(503, ready(20_000), "start " + i + ": it answers, though it isn't ready without the state service");
+            process.destroyForcibly();
+            assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        }
+    }
+
+    /** It ended at once, and so did the one started instead of it, several times a second. */
+    @Test
+    void itWaitsForAnAddressThatIsTaken() throws Exception {
+        Path settings = settings();
+        try (ServerSocket taken = new ServerSocket(mesh, 1, InetAddress.getLoopbackAddress())) {
+            start(settings);
+            assertTrue(!process.waitFor(2_500, TimeUnit.MILLISECONDS), () -> "it ended: port " + taken.getLocalPort());
+        }
+        assertEquals(503, ready(20_000));
+        String log = Files.readString(folder.resolve("log"));
+        assertEquals(1, List.of(log.split("\n")).stream().filter(l -> l.contains("address taken")).count(), log);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/LinksTest.java
@@ -0,0 +1,196 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.hollypick.Node;
+import org.hollypick.config.OperatorSettings;
+import org.junit.jupiter.api.Test;
+
+/** Cuts that leave some links up (docs/links.md): wherever there is a way by at most one peer, work goes on. */
+class LinksTest {
+    private static final long CUT_MS = 40_000;
+    /** As long as the deployments': a machine that finds two controllers cut off in turn needs fifteen seconds for it. */
+    private static final long LEASE_MS = 27_000;
+    /** From the beginning of a cut until new work starts. */
+    private static final long BOUND_MS = 25_000;
+
+    /** How a cut went. */
+    private record Outcome(Links links, int lost, long startedAfter, int changes, Set<String> returned, List<String> broken) {
+        boolean full() {
+            return lost == 0 && startedAfter <= BOUND_MS;
+        }
+    }
+
+    /** Services run; the links are as they say; after a while new work comes; the cut ends. */
+    private static Outcome play(int seed, Links links) {
+        Day day = new Day(seed, 6, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()), LEASE_MS);
+        day.play(3_000);
+        day.submitLasting(5);
+        day.play(37_000);
+        int lost = day.checker.lost;
+        Set<String> returned = new TreeSet<>();
+        day.world.sending = (from, call) -> {
+            if (call.path().equals("/hosts/return")) {
+                call.body().path("bothies").forEach(id -> day.cloud.workers().stream().filter(w -> w.name.equals(id.asText()) && w.running() > 0
+                        && (links.machines(0, w.zone) || links.machines(1, w.zone) || links.machines(2, w.zone))).forEach(w -> returned.add(w.name)));
+            }
+        };
+        day.links(links);
+        day.play(10_000);
+        long from = day.world.now;
+        int starts = day.checker.starts;
+        int changes = 0;
+        long lead = day.state.data("h/roster").path("member").asLong();
+        long startedAfter = Long.MAX_VALUE;
+        day.submitLasting(3);
+        for (long t = 0; t < CUT_MS - 10_000; t += 100) {
+            day.play(100);
+            long leads = day.state.data("h/roster").path("member").asLong();
+            changes += leads == lead ? 0 : 1;
+            lead = leads;
+            if (startedAfter == Long.MAX_VALUE && day.checker.starts > starts) {
+                startedAfter = day.world.now - from + 10_000;
+            }
+        }
+        int lostInCut = day.checker.lost - lost;
+        day.links(null);
+        day.play(60_000);
+        return new Outcome(links, lostInCut, startedAfter, changes, returned, day.checker.broken);
+    }
+
+    /** Every pattern of a kind, one in so many; {@code main} plays them all. */
+    private static List<Outcome> all(int step) {
+        List<Outcome> list = new ArrayList<>();
+        for (int bits = step / 2; bits < Links.COUNT; bits += step) {
+            list.add(play(1 + bits % 5, new Links(bits)));
+        }
+        return list;
+    }
+
+    private static final Predicate<Outcome> RETURNED = o -> !o.returned.isEmpty();
+
+    @Test
+    void whereverThereIsAWayWorkGoesOn() {
+        for (Outcome o : all(29)) {
+            assertEquals(List.of(), o.broken, o.links.toString());
+            if (o.links.way() == Links.Way.FULL) {
+                assertTrue(o.full(), o.toString());
+                assertEquals(Set.of(), o.returned, o.toString());
+                assertTrue(o.changes <= 3, o.toString());
+            }
+        }
+    }
+
+    /** From one pattern to the next while jobs come and go, controllers end, and messages are late. */
+    @Test
+    void linksThatChangeAllTheTimeKeepTheRules() {
+        int starts = 0;
+        for (int seed = 1; seed <= 120; seed++) {
+            Day day = new Day(seed);
+            day.submitSome(25, 100_000);
+            day.drawFaults(4, 20_000, 120_000);
+            for (long at = 15_000; at < 130_000; at += 2_000 + day.world.random.nextInt(12_000)) {
+                // Most links are up at a time, or nothing would run.
+                Links links = new Links(day.world.random.nextInt(Links.COUNT) | day.world.random.nextInt(Links.COUNT));
+                day.world.at(at, () -> day.links(links));
+            }
+            day.world.at(135_000, () -> day.links(null));
+            day.play(220_000);
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+            starts += day.checker.starts;
+        }
+        assertTrue(starts > 120 * 20, "the days did little: " + starts);
+    }
+
+    /** An owner whose links to the machines come and go every few seconds: each change of the lead is work for all that remain. */
+    @Test
+    void linksThatFlapMoveTheLeadSeldom() {
+        for (int seed = 1; seed <= 3; seed++) {
+            Day day = new Day(seed, 6, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()), LEASE_MS);
+            day.play(3_000);
+            day.submitLasting(5);
+            day.play(37_000);
+            int lost = day.checker.lost;
+            for (int i = 0; i < 15; i++) {
+                boolean down = i % 2 == 0;
+                day.world.at(4_000 * i, () -> day.links(down ? new Links(Links.COUNT - 1 & ~Links.machinesOf(day.leader())) : null));
+            }
+            long lead = day.state.data("h/roster").path("member").asLong();
+            int changes = 0;
+            for (int t = 0; t < 600; t++) {
+                day.play(100);
+                long leads = day.state.data("h/roster").path("member").asLong();
+                changes += leads == lead ? 0 : 1;
+                lead = leads;
+            }
+            assertTrue(changes <= 4, "seed " + seed + " changes in a minute " + changes);
+            day.links(null);
+            day.play(40_000);
+            assertEquals(lost, day.checker.lost, "seed " + seed);
+            assertEquals(List.of(), day.checker.broken);
+        }
+    }
+
+    /** Two controllers cut from the machines, one of them the owner: the lead goes straight to the third, and within a second of being given up. */
+    @Test
+    void theLeadGoesToWhoeverReachesTheMachines() {
+        for (int seed = 1; seed <= 6; seed++) {
+            Day day = new Day(seed, 6, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()), LEASE_MS);
+            day.play(3_000);
+            day.submitLasting(5);
+            day.play(37_000);
+            int lost = day.checker.lost;
+            int owner = day.leader();
+            int well = (owner + 1 + seed % 2) % 3;
+            int other = 3 - owner - well;
+            long[] gaveUpAt = {0};
+            day.world.sending = (from, call) -> gaveUpAt[0] = call.path().equals("/release") ? day.world.now : gaveUpAt[0];
+            int cut = Links.machinesOf(owner) | Links.machinesOf(other);
+            day.links(new Links(Links.COUNT - 1 & ~cut));
+            // Controllers refuse each other soon after: from then on nobody tells anybody anything.
+            day.world.at(seed % 3 == 0 ? 2_000 : 7_000, () -> day.links(new Links(Links.COUNT - 1 & ~cut & ~Links.ALL_PEERS)));
+            while (day.leader() == owner) {
+                day.play(10);
+                assertTrue(day.world.now < 60_000, "nobody took over");
+            }
+            assertEquals(well, day.leader());
+            long without = day.world.now - gaveUpAt[0];
+            assertTrue(seed % 3 == 0 || without < 1_000, "seed " + seed + " without an owner for ms=" + without);
+            day.play(40_000);
+            day.links(null);
+            day.play(30_000);
+            assertEquals(lost, day.checker.lost);
+            assertEquals(List.of(), day.checker.broken);
+        }
+    }
+
+    /** Prints, for every pattern, how it went: a table of what can be done against what was, and those that fell short. */
+    public static void main(String[] args) {
+        Map<String, int[]> table = new TreeMap<>();
+        int broken = 0;
+        for (Outcome o : all(args.length > 0 ? Integer.parseInt(args[0]) : 1)) {
+            int[] row = table.computeIfAbsent(o.links.way().toString(), k -> new int[7]);
+            row[0]++;
+            row[o.full() ? 1 : o.startedAfter < Long.MAX_VALUE ? 2 : 3]++;
+            row[4] += o.lost > 0 ? 1 : 0;
+            row[5] += RETURNED.test(o) ? 1 : 0;
+            row[6] = Math.max(row[6], o.changes);
+            broken += o.broken.isEmpty() ? 0 : 1;
+            if (!o.broken.isEmpty() || o.links.way() == Links.Way.FULL && (!o.full() || RETURNED.test(o) || o.changes > 3)) {
+                System.out.println(o);
+            }
+        }
+        table.forEach((way, r) -> System.out.printf(Locale.ROOT, "%s patterns=%d full=%d part=%d none=%d lost=%d returned=%d changes<=%d%n", way, r[0], r[1], r[2],
+                r[3], r[4], r[5], r[6]));
+        System.out.println("broken " + broken);
+    }
+}
--- a/src/test/java/org/hollypick/sim/WorkerStandIn.java
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -67,6 +67,11 @@
         return tasks.size();
     }
 
+    /** Tasks that haven't ended. */
+    int running() {
+        return (int) tasks.values().stream().filter(t -> !t.status.equals("exited")).count();
+    }
+
     /** Tasks end with the lease even on a machine that hangs. */
     private void watchLease() {
         world.at(100, () -> {
