Teams at their limits: what isn't known is bounded, services first, no rentals beyond limits; a cancelled job's tasks are waited for

Found on the way: tasks of a job cancelled just before a takeover counted for nothing, though they take room until they are told to go, so a limit could have been exceeded for a moment. Ruled out: the owner's time, room, refusals of the cloud.

Change: TeamUse bounds what unheard machines may hold, by their room and by what earlier owners under the same limits may have left (the roster says which are kept); a term isn't settled while a machine reports tasks that aren't accounted for; Planner.reserve; Scheduler.usableCores for Fleet.

--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -22,6 +22,7 @@
  * while that key stands, nobody else can claim. The roster's own stamp is the baton.
  */
 public final class Membership {
+    private static final String LIMITS = "limits";
     private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
 
     private final Runtime runtime;
@@ -31,6 +32,7 @@
     private final Candidate candidate;
     private final Runnable changed;
     private final int rank;
+    private final String limits;
 
     private long tenancy;
     private boolean held;
@@ -59,6 +61,7 @@
         this.state = state;
         this.settings = settings;
         this.view = view;
+        this.limits = settings.limitsMark();
         this.candidate = new Candidate(runtime, settings, view);
         this.changed = changed;
         TreeSet<String> names = new TreeSet<>(List.of(settings.node()));
@@ -436,20 +439,38 @@
             if (leader != null && !leader.equals(settings.node())) {
                 txn.when(Keys.member(leader), view.stamp(Keys.member(leader)));
             }
-            write(txn, leader == null ? "first" : "after " + leader);
+            write(txn, limitsKept(), leader == null ? "first" : "after " + leader);
         }
     }
 
+    /** Whether all owners so far have kept the limits of teams that this one keeps: an owner says which it keeps only if that holds for those before it. */
+    public boolean limitsKept() {
+        View.Entry roster = view.get(Keys.ROSTER);
+        return roster == null || roster.data().path(LIMITS).asText().equals(limits);
+    }
+
     /** Writes the roster again, as it is: its new stamp is a new baton, under which no older order is executed any more. */
     public void fence(long baton) {
+        fence(baton, limitsKept());
+    }
+
+    /** The same, and tells that from now on the limits are kept that this owner keeps, whatever was before. */
+    public void limitsKeptFromNow(long baton) {
+        fence(baton, true);
+    }
+
+    private void fence(long baton, boolean limitsKept) {
         if (!claiming && valid() && entitled(baton)) {
             claiming = true;
-            write(new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.member(settings.node()), memberStamp), "a fence");
+            write(new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.member(settings.node()), memberStamp), limitsKept, "a fence");
         }
     }
 
-    private void write(StateClient.Txn txn, String why) {
+    private void write(StateClient.Txn txn, boolean limitsKept, String why) {
         ObjectNode roster = Codec.object().put("leader", settings.node()).put("member", memberStamp).put("terms", terms() + 1);
+        if (limitsKept) {
+            roster.put(LIMITS, limits);
+        }
         state.commitNow(txn.put(Keys.ROSTER, roster), r -> {
             LOG.info("roster written status={} why={}", r.status(), why);
             // The watch brings the outcome, whatever the answer was.
--- a/src/main/java/org/hollypick/config/Settings.java
+++ b/src/main/java/org/hollypick/config/Settings.java
@@ -4,7 +4,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import com.google.common.net.HostAndPort;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -40,6 +44,19 @@
         return null;
     }
 
+    /** The limits of all teams, as a mark that two controllers can compare. */
+    public String limitsMark() {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        teams.values().stream().sorted(Comparator.comparing(Team::name))
+                .forEach(t -> hasher.putString(t.name(), StandardCharsets.UTF_8).putDouble(t.cpusMax()).putDouble(t.gpusMax()));
+        return hasher.hash().toString();
+    }
+
+    /** Whether any team has a limit. */
+    public boolean anyLimit() {
+        return teams.values().stream().anyMatch(t -> t.cpusMax() > 0 || t.gpusMax() > 0);
+    }
+
     public static Settings read(Path file) {
         JsonNode root;
         try {
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -92,6 +92,9 @@
         this.own = new OwnTrouble(runtime.now());
         this.scheduler = new Scheduler(baton, settings, operator.firstShare(),
                 new Leases(settings, settings.siblings().stream().map(Settings.Sibling::node).toList(), runtime.now(), nobodyBefore), operator.estimates());
+        if (membership.limitsKept()) {
+            scheduler.olderKeptLimits();
+        }
         this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, own, this::pump);
         this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, membership::reachesState, this::pump, nobodyBefore);
         this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
@@ -276,6 +279,8 @@
                 rentals.rentAndReturn(workers.dark(), now);
                 if (scheduler.ledger.fenceDue(now)) {
                     membership.fence(baton);
+                } else if (settings.anyLimit() && !membership.limitsKept() && scheduler.limitsKept()) {
+                    membership.limitsKeptFromNow(baton); // once, after owners of an older version or with other limits
                 }
             }
             if (now >= nextSummary) {
--- a/src/main/java/org/hollypick/core/Ledger.java
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -62,6 +62,7 @@
             m.placements.values().forEach(p -> p.viaHello = false);
         }
         m.beginReport();
+        boolean strays = false;
         for (TaskReport t : r.tasks()) {
             Placement p = m.at(t.task(), t.attempt());
             if (p == null) {
@@ -70,8 +71,15 @@
             if (p != null) {
                 m.listed(p);
                 update(p, t, now);
+                if (r.baton() == baton && p.there() && p.attempt >>> Constants.ATTEMPT_BITS != baton && !scheduler.settled()) {
+                    teamUse.found(p.spec, p.attempt);
+                }
+            } else if (t.state() != State.EXITED) {
+                strays = true;
             }
         }
+        scheduler.passWanted |= m.strays && !strays;
+        m.strays = strays;
         for (Placement p : m.unlisted()) {
             if (p.state() != State.SENT || p.stop && !p.launchMayFollow()) {
                 remove(p);
@@ -193,6 +201,7 @@
             remove(p);
         }
         m.reported = List.of();
+        m.strays = false;
     }
 
     /** Nothing of it can be on its machine any more. */
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -5,7 +5,9 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.IdentityHashMap;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.hollypick.config.Constants;
 import org.hollypick.core.ledger.Machine;
@@ -26,6 +28,8 @@
     private int idleFirst;
     /** Machines filled so far. */
     private int fills;
+    /** When it was last looked which services wait for their team's limit alone. */
+    private long reservedAt = -Constants.PASS_EVERY_MS;
     /** Cores of all services, as of the last pass. */
     private double allServices;
 
@@ -46,6 +50,7 @@
             }
         }
         if (firstJobs.isEmpty() && secondJobs.isEmpty()) {
+            scheduler.teamUse.owesNothing();
             return;
         }
         firstJobs.sort(ORDER);
@@ -62,6 +67,7 @@
                 (m.first ? firstMachines : secondMachines).add(m);
             }
         }
+        reserve(usable, now);
         for (Job job : secondJobs) {
             if (job.spec.service()) {
                 placeService(job, usable, now);
@@ -117,6 +123,27 @@
             }
             choice.victims().forEach(v -> scheduler.ledger.stop(v, 0));
             start(job, i, choice.machine(), now);
+            scheduler.teamUse.owe(job.spec, -1);
+        }
+    }
+
+    /**
+     * Services whose team is at its limit, though there is room for them: arrays would take what comes free of the limit on machines where services may not go, for
+     * as long as any wait. Looked at once a second, by one service of each team.
+     */
+    private void reserve(List<Machine> usable, long now) {
+        if (now - reservedAt < Constants.PASS_EVERY_MS) {
+            return;
+        }
+        reservedAt = now;
+        scheduler.teamUse.owesNothing();
+        Map<String, Boolean> room = new HashMap<>();
+        for (Job job : secondJobs) {
+            JobSpec spec = job.spec;
+            if (spec.service() && !scheduler.withinLimit(spec)
+                    && room.computeIfAbsent(spec.team(), t -> Placer.preempt(job, usable, allServices, now) != null)) {
+                scheduler.teamUse.owe(spec, job.pending.cardinality());
+            }
         }
     }
 
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -1,5 +1,6 @@
 package org.hollypick.core;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,12 +23,15 @@
     private final Settings settings;
     public final Leases leases;
     private final Planner planner;
-    private final TeamUse teamUse = new TeamUse();
+    final TeamUse teamUse = new TeamUse();
     public final Estimates estimates;
     /** Which controller each machine reports to. */
     public final Shares shares;
     public final Ledger ledger;
     private boolean settled;
+    /** Earlier owners kept the same limits of teams. */
+    private boolean olderKeptLimits;
+    private long unheardAt = -1;
     long lastNow;
     private Arrived arrived = new Arrived(0, 0, 0);
     /** Work of tasks that were released since that was last taken: there may be thousands at once. */
@@ -67,6 +71,11 @@
         this.planner = new Planner(this, firstShare);
     }
 
+    /** The owner before kept the same limits of teams, and all before it did. */
+    public void olderKeptLimits() {
+        olderKeptLimits = true;
+    }
+
     // ---- jobs ----
 
     /** A job that awaits nothing. */
@@ -178,7 +187,7 @@
         // A machine without a durable record can't have been given a task by an earlier owner.
         m.heard = !registered;
         machines.put(id, m);
-        settled &= m.heard;
+        settled &= m.known();
         return m;
     }
 
@@ -218,7 +227,10 @@
     /** Whether no machine of an earlier term can still hold tasks that this one doesn't know of. Once so, it stays so. */
     public boolean settled() {
         if (!settled) {
-            settled = machines.values().stream().allMatch(m -> m.heard);
+            settled = machines.values().stream().allMatch(Machine::known);
+            if (settled) {
+                teamUse.settled();
+            }
         }
         return settled;
     }
@@ -253,7 +265,35 @@
     /** Whether one more task keeps its team's limit. Machines of earlier terms may hold tasks nobody here has counted. */
     public boolean withinLimit(JobSpec spec) {
         Settings.Team team = settings.teams().get(spec.team());
-        return team == null || team.cpusMax() <= 0 && team.gpusMax() <= 0 || settled() && teamUse.allows(team, spec);
+        if (team == null || team.cpusMax() <= 0 && team.gpusMax() <= 0) {
+            return true;
+        }
+        if (settled()) {
+            return teamUse.allows(team, spec);
+        }
+        if (unheardAt != lastNow) {
+            unheardAt = lastNow; // within one moment they only become fewer
+            teamUse.unheard(machines.values());
+        }
+        return teamUse.allowsUnheard(team, spec, olderKeptLimits);
+    }
+
+    /** Cores that arrays can use at once beside their team's services, by what there is of both for each team; without end if a team has no limit. */
+    public double usableCores(Object2DoubleMap<String> services, Object2DoubleMap<String> arrays) {
+        double usable = 0;
+        for (Object2DoubleMap.Entry<String> e : arrays.object2DoubleEntrySet()) {
+            Settings.Team team = settings.teams().get(e.getKey());
+            if (team == null || team.cpusMax() <= 0) {
+                return Double.POSITIVE_INFINITY;
+            }
+            usable += Math.min(e.getDoubleValue(), Math.max(0, team.cpusMax() - services.getDouble(e.getKey())));
+        }
+        return usable;
+    }
+
+    /** Everything is known, and no team takes more than its limit. */
+    public boolean limitsKept() {
+        return settled() && teamUse.within(settings.teams().values());
     }
 
     /** Partial sizes by job, for the controller's one value. */
--- a/src/main/java/org/hollypick/core/fleet/Fleet.java
+++ b/src/main/java/org/hollypick/core/fleet/Fleet.java
@@ -1,5 +1,6 @@
 package org.hollypick.core.fleet;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
@@ -63,6 +64,8 @@
         final Map<String, Double> serviceCores = new HashMap<>();
         double arrayWork;
         double arrayCores;
+        final Object2DoubleOpenHashMap<String> teamServices = new Object2DoubleOpenHashMap<>();
+        final Object2DoubleOpenHashMap<String> teamArrays = new Object2DoubleOpenHashMap<>();
         boolean arraysWait;
         Job service;
         JobSpec array;
@@ -113,9 +116,11 @@
         if (demand.array != null) {
             double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(60);
             JobSpec array = demand.array;
-            double spot = Math.max(base - supply, late(demand, supply, bootS, Constants.CATCH_UP_S));
+            // What a team's limit keeps from running needs no machine, however long it waits.
+            double unused = scheduler.usableCores(demand.teamServices, demand.teamArrays) - supply;
+            double spot = Math.max(base - supply, Math.min(unused, late(demand, supply, bootS, Constants.CATCH_UP_S)));
             if (!rent(rents, array, types, lit, true, spot, now)) {
-                double missing = Math.min(late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), ordinaryLimit() - supply);
+                double missing = Math.min(late(demand, supply, bootS, Constants.CATCH_UP_ORDINARY_S), Math.min(unused, ordinaryLimit() - supply));
                 rent(rents, array, types, lit, false, missing, now);
             }
         }
@@ -259,6 +264,7 @@
             int pending = job.failures > 2 ? 0 : job.pending.cardinality(); // a job that fails everywhere rents nothing
             if (s.service() || !s.spot()) {
                 d.service = job;
+                d.teamServices.addTo(s.team(), (pending + job.live.size()) * s.cpus());
                 for (Placement p : job.live.values()) {
                     d.serviceCores.merge(p.machine.zone, s.cpus(), Double::sum);
                 }
@@ -269,6 +275,7 @@
                 job.forEachWaiting((spec, count) -> {
                     d.arrayWork += count * spec.cpus() * scheduler.expectedRunS(spec);
                     d.arrayCores += count * spec.cpus();
+                    d.teamArrays.addTo(s.team(), count * spec.cpus());
                 });
             }
             for (Placement p : job.live.values()) {
@@ -276,6 +283,7 @@
                 double ran = p.runningAt > 0 ? (now - p.runningAt) / 1000.0 : 0;
                 d.arrayWork += p.spec.cpus() * Math.max(runs - ran, runs * 0.1);
                 d.arrayCores += p.spec.cpus();
+                d.teamArrays.addTo(s.team(), p.spec.cpus());
             }
             d.arraysWait |= pending > 0;
             if (pending > 0) {
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -21,6 +21,8 @@
     public boolean registered;
     /** It has reported under the current baton, or nothing older can be on it. */
     public boolean heard;
+    /** It reported a task that isn't accounted for: of a job that is over, or a second attempt. It is told to end that. */
+    public boolean strays;
     /** Its worker has reported at least once in this term. */
     public boolean up;
     public long tenure;
@@ -103,6 +105,11 @@
         }
     }
 
+    /** Nothing can be on it that isn't accounted for. */
+    public boolean known() {
+        return heard && !strays;
+    }
+
     /** A new report begins: what it doesn't list is told by {@link #unlisted}. */
     public void beginReport() {
         reports++;
--- a/src/test/java/org/hollypick/FleetTest.java
+++ b/src/test/java/org/hollypick/FleetTest.java
@@ -175,4 +175,19 @@
         late.live.values().forEach(p -> assertFalse(p.machine.emptiedNext));
         assertEquals(2, late.live.size());
     }
+
+    /** A third of all machines stood idle: what waited for nothing but its team's limit was rented for, again and again. */
+    @Test
+    void whatATeamsLimitKeepsFromRunningRentsNothing() {
+        Settings limited = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", ZONES, Map.of("team", new Settings.Team("team", 0, 64, 0, 0)), List.of(),
+                3, 20, 40, 100, 30, 8192, 12, 8, 4, 1000);
+        Scheduler few = new Scheduler(5, limited, 0.3, new Leases(limited, List.of(), 0, true));
+        JobSpec array = new JobSpec("req-1", "batch", "team", false, JobSpec.Rank.NORMAL, 900, 2, 0, 1, null, null, false, false, true, "img", 1, 30, 0, 0, Double.NaN);
+        few.addJob(array, 1, 5);
+        Fleet.Plan plan = new Fleet(OperatorSettings.defaults(), true).plan(few, TYPES, ZONES, 1_000);
+        assertEquals(4, plan.rents().stream().mapToInt(Fleet.Rent::count).sum(), "64 cores");
+        scheduler.addJob(array, 1, 5);
+        plan = fleet.plan(scheduler, TYPES, ZONES, 1_000);
+        assertTrue(plan.rents().stream().mapToInt(Fleet.Rent::count).sum() > 4, "without a limit");
+    }
 }
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -269,4 +269,108 @@
         scheduler.registered(other);
         assertTrue(scheduler.freed.contains(other));
     }
+
+    // ---- limits while machines of earlier terms are unheard ----
+
+    private static final Settings LIMITED = settings(Map.of("team", new Settings.Team("team", 0, 10, 0, 0)));
+
+    private static TaskReport running(String task, long attempt) {
+        return new TaskReport(task, attempt, State.RUNNING, null);
+    }
+
+    /** An owner before this one started those; one machine reports, the other, as large as the limit, doesn't. A new job of the team waits. */
+    private static Scheduler halfHeard(boolean olderKept, long baton) {
+        Scheduler s = new Scheduler(5, LIMITED, 0.3, new Leases(LIMITED, List.of(), 0, true));
+        if (olderKept) {
+            s.olderKeptLimits();
+        }
+        s.addJob(spec("req-000001", 3, false), 1, 2);
+        Machine m = s.addMachine("n-1", TYPE, "a", true, true, 0);
+        s.addMachine("n-2", new MachineType("t", 16, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a", "b")), "a", true, true, 0);
+        s.addJob(spec("req-000002", 4, false), 6, 5);
+        s.ledger.report(m, report("n-1", 1, 1, baton, running("req-000001/0", 3), running("req-000001/1", 4)), true, 100);
+        s.pass(100);
+        return s;
+    }
+
+    /** With a dark zone a team with a limit started nothing for as long as a lease and more, on machines that were heard, and half of all work ended. */
+    @Test
+    void aTeamsEndedTasksMakeRoomBeforeAllIsHeard() {
+        Scheduler s = halfHeard(true, 5);
+        Job waiting = s.jobs.get("req-000002");
+        assertEquals(0, waiting.live.size(), "up to the limit of 10 cores may be anywhere");
+        Machine m = s.machines.get("n-1");
+        s.ledger.report(m, report("n-1", 1, 2, 5, running("req-000001/0", 3), new TaskReport("req-000001/1", 4, State.EXITED, "done")), true, 200);
+        s.pass(200);
+        assertEquals(1, waiting.live.size(), "the room of the one that ended");
+        s.pass(300);
+        assertEquals(1, waiting.live.size());
+        s.machineGone("n-2");
+        s.pass(400);
+        assertEquals(4, waiting.live.size() + s.jobs.get("req-000001").live.size(), "all is known: the whole machine is used");
+    }
+
+    /** Earlier owners may have kept a higher limit: nothing is known of what they started. */
+    @Test
+    void endedTasksMakeNoRoomAfterOwnersWithOtherLimits() {
+        Scheduler s = halfHeard(false, 5);
+        s.ledger.report(s.machines.get("n-1"), report("n-1", 1, 2, 5, new TaskReport("req-000001/1", 4, State.EXITED, "done")), true, 200);
+        s.pass(200);
+        assertEquals(0, s.jobs.get("req-000002").live.size());
+    }
+
+    /** A report from before this term may be of any time: its tasks may have ended, and others been started elsewhere, before the last owner did. */
+    @Test
+    void whatAnOlderReportListsMakesNoRoom() {
+        Scheduler s = halfHeard(true, 4);
+        Machine m = s.machines.get("n-1");
+        s.ledger.report(m, report("n-1", 1, 2, 5), true, 200);
+        s.pass(200);
+        assertEquals(0, s.jobs.get("req-000002").live.size());
+    }
+
+    /** Tasks of a job that was cancelled just before the last owner's end still take room until they have been told to go: they weren't counted. */
+    @Test
+    void tasksThatNobodyCountsAreWaitedFor() {
+        Scheduler s = new Scheduler(5, LIMITED, 0.3, new Leases(LIMITED, List.of(), 0, true));
+        Machine m = s.addMachine("n-1", TYPE, "a", true, true, 0);
+        s.addMachine("n-3", TYPE, "a", true, false, 0).registered = true;
+        s.addJob(spec("req-000002", 4, false), 6, 5);
+        s.ledger.report(s.machines.get("n-3"), report("n-3", 1, 1, 5), true, 50);
+        s.ledger.report(m, report("n-1", 1, 1, 5, running("req-000009/0", 3), running("req-000009/1", 4)), true, 100);
+        s.pass(100);
+        assertEquals(1, s.jobs.get("req-000002").live.size(), "2 cores of 10, since the first machine's 8 may all be the cancelled job's");
+        s.ledger.report(m, report("n-1", 1, 2, 5), true, 200);
+        s.pass(200);
+        assertEquals(4, s.jobs.get("req-000002").live.size());
+    }
+
+    /** Arrays took again and again what their own tasks left of the limit on machines that services may not use, while services waited beside free room. */
+    @Test
+    void servicesComeFirstWhereOnlyTheLimitKeepsThem() {
+        Scheduler s = new Scheduler(5, LIMITED, 0.3, new Leases(LIMITED, List.of(), 0, true));
+        Machine spot = s.addMachine("n-1", new MachineType("t", 16, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a", "b")), "a", true, false, 0);
+        spot.registered = true;
+        s.ledger.report(spot, report("n-1", 1, 1, 5), true, 0);
+        Job array = s.addJob(spec("req-000001", 9, false), 1, 5);
+        s.pass(0);
+        assertEquals(5, array.live.size(), "the whole limit");
+        Machine ordinary = s.addMachine("n-2", TYPE, "a", false, false, 0);
+        ordinary.registered = true;
+        s.ledger.report(ordinary, report("n-2", 1, 1, 5), true, 0);
+        Job service = s.addJob(new JobSpec("req-000002", "k", "team", true, JobSpec.Rank.PRODUCTION, 2, 2, 0, 4, null, null, false, false, false, "img", 1, 10, 0, 0,
+                Double.NaN), 2, 5);
+        s.pass(2_000);
+        assertEquals(0, service.live.size());
+        Placement[] there = array.live.values().toArray(new Placement[0]);
+        TaskReport[] one = new TaskReport[there.length];
+        for (int i = 0; i < there.length; i++) {
+            one[i] = new TaskReport(there[i].taskId, there[i].attempt, i == 0 ? State.EXITED : State.RUNNING, i == 0 ? "done" : null);
+        }
+        s.ledger.report(spot, report("n-1", 1, 2, 5, one), true, 2_500);
+        s.fill(spot, 2_500);
+        assertEquals(4, array.live.size(), "what its task left isn't the array's");
+        s.pass(3_000);
+        assertEquals(1, service.live.size());
+    }
 }
--- a/src/test/java/org/hollypick/sim/KeepingTest.java
+++ b/src/test/java/org/hollypick/sim/KeepingTest.java
@@ -70,6 +70,29 @@
         survives(day);
     }
 
+    /** The team is at its limit, a zone is dark, and another one leads: for as long as leases may be kept there, nothing was started, though half of the machines were heard. */
+    @Test
+    void aTeamAtItsLimitGoesOnWhileAZoneIsDark() {
+        int starts = 0;
+        for (int seed = 1; seed <= 12; seed++) {
+            Day day = new Day(seed, 4, null, null, NEW);
+            day.controllerInZone(2, "b");
+            day.play(5_000);
+            day.submitSome(60, 90_000);
+            day.play(40_000);
+            day.cutZone("b", 45_000);
+            day.world.at(500, () -> day.crash(day.leader(), 20_000));
+            day.play(12_000);
+            int before = day.checker.starts;
+            day.play(13_000);
+            starts += day.checker.starts - before;
+            day.play(120_000);
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+        }
+        System.out.println("starts while a zone is dark " + starts);
+        assertTrue(starts > 100, "starts while a zone is dark: " + starts);
+    }
+
     /** A cut longer than anyone may keep leases: the work there ends, and starts again once it may. */
     @Test
     void keepingEndsInTimeForWhatIsCancelledMeanwhile() {
