--- a/src/test/java/org/hollypick/sim/LinksTest.java
+++ b/src/test/java/org/hollypick/sim/LinksTest.java
@@ -30,12 +30,18 @@
         }
     }
 
-    /** Services run; the links are as they say; after a while new work comes; the cut ends. */
-    private static Outcome play(int seed, Links links) {
+    /** Some dozen machines with services that nobody cancels. */
+    private static Day running(int seed) {
         Day day = new Day(seed, 6, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()), LEASE_MS);
         day.play(3_000);
         day.submitLasting(5);
         day.play(37_000);
+        return day;
+    }
+
+    /** Services run; the links are as they say; after a while new work comes; the cut ends. */
+    private static Outcome play(int seed, Links links) {
+        Day day = running(seed);
         int lost = day.checker.lost;
         Set<String> returned = new TreeSet<>();
         day.world.sending = (from, call) -> {
@@ -115,10 +121,7 @@
     @Test
     void linksThatFlapMoveTheLeadSeldom() {
         for (int seed = 1; seed <= 3; seed++) {
-            Day day = new Day(seed, 6, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()), LEASE_MS);
-            day.play(3_000);
-            day.submitLasting(5);
-            day.play(37_000);
+            Day day = running(seed);
             int lost = day.checker.lost;
             for (int i = 0; i < 15; i++) {
                 boolean down = i % 2 == 0;
@@ -144,10 +147,7 @@
     @Test
     void theLeadGoesToWhoeverReachesTheMachines() {
         for (int seed = 1; seed <= 6; seed++) {
-            Day day = new Day(seed, 6, null, null, (r, s) -> new Node(r, s, OperatorSettings.defaults()), LEASE_MS);
-            day.play(3_000);
-            day.submitLasting(5);
-            day.play(37_000);
+            Day day = running(seed);
             int lost = day.checker.lost;
             int owner = day.leader();
             int well = (owner + 1 + seed % 2) % 3;
