--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -27,6 +27,7 @@
 import org.hollypick.io.Runtime;
 import org.hollypick.relay.Relay;
 import org.hollypick.relay.RelayCodec;
+import org.hollypick.mesh.Exchange;
 import org.hollypick.mesh.Ways;
 import org.hollypick.records.Records;
 import org.hollypick.state.StateClient;
@@ -52,6 +53,7 @@
     private final UserApi users;
     private final Keeper keeper;
     private final Relay relay;
+    private final Exchange mesh = new Exchange();
     /** Null unless the operators switched graphs on. */
     private final GraphApi graphs;
     /** Shared with the term; prices in it follow the cloud. */
@@ -85,6 +87,7 @@
         this.keeper = new Keeper(runtime, settings, view, membership, this::cancelled,
                 () -> term != null && term.scheduler.leases.allAsked(), this::kept);
         this.relay = new Relay(runtime, settings, membership, state, keeper, report -> term != null && term.acting() ? hello(report, settings.node()) : null);
+        listenToOthers();
     }
 
     public void start() {
@@ -184,54 +187,37 @@
 
     /** A request of another controller. */
     public void handleMesh(String method, String path, byte[] bytes, Consumer<Answer> answer) {
-        if (path.equals("/promise") && method.equals("POST")) {
-            JsonNode body = Codec.read(bytes, true);
-            long baton = body == null ? 0 : Codec.u64(body.path("baton"));
-            answer.accept(Answer.of(200, membership.promised(baton)));
-            return;
-        }
-        if (path.equals("/keep") && method.equals("POST")) {
-            JsonNode body = Codec.read(bytes, true);
-            boolean own = body != null && term != null && term.acting() && Codec.u64(body.path("baton")) == term.baton;
-            answer.accept(own ? term.keep(body.path("node").asText(), Codec.u64(body.path("epoch")), Codec.u64(body.path("echo")), body.path("kept").asBoolean())
-                    : Answer.later("not the owner under that baton"));
-            return;
-        }
-        if (path.equals(RelayCodec.PATH) && method.equals("POST")) {
-            answer.accept(term != null && term.acting() ? RelayCodec.take(Codec.read(bytes, true), term.baton, this::rightMs, this::hello).only(term::acting)
-                    : Answer.later("not the owner"));
-            return;
-        }
-        if (path.equals("/release") && method.equals("POST")) {
-            JsonNode body = Codec.read(bytes, true);
-            answer.accept(relay.release(body == null ? 0 : Codec.u64(body.path("member"))));
-            return;
-        }
-        if ((path.equals(Ways.PATH) || path.equals(Ways.WATCH_PATH)) && method.equals("POST")) {
-            state.ways().pass(Codec.read(bytes, true), answer);
-            return;
-        }
-        if (path.equals(PeerReach.PATH) && method.equals("POST")) {
-            PeerReach.answer(workers, Codec.read(bytes, true), membership.reachesState(), answer);
-            return;
-        }
-        if (graphs != null && path.equals("/graph") && method.equals("POST")) {
-            graphs.passed(Codec.read(bytes, true), answer);
-            return;
-        }
-        if (operator.estimates() && path.equals("/estimate") && method.equals("POST")) {
-            answer.accept(users.meshEstimate(Codec.read(bytes, true)));
-            return;
-        }
-        if (path.equals("/jobs") && method.equals("POST")) {
-            answer.accept(users.meshStatus(Codec.read(bytes, true)));
-        } else if (path.startsWith("/jobs/") && path.endsWith("/abort") && method.equals("POST")) {
+        if (method.equals("POST") && path.startsWith("/jobs/") && path.endsWith("/abort")) {
             users.meshAbort(path.substring("/jobs/".length(), path.length() - "/abort".length()), answer);
         } else {
-            answer.accept(Answer.error(404, "no such path"));
+            mesh.handle(method, path, bytes, answer);
         }
     }
 
+    private void listenToOthers() {
+        mesh.on("/promise", (body, answer) -> answer.accept(Answer.of(200, membership.promised(body == null ? 0 : Codec.u64(body.path("baton"))))));
+        mesh.on("/keep", (body, answer) -> answer.accept(mayKeep(body)));
+        mesh.on("/release", (body, answer) -> answer.accept(relay.release(body == null ? 0 : Codec.u64(body.path("member")))));
+        mesh.on(RelayCodec.PATH, (body, answer) -> answer.accept(term != null && term.acting()
+                ? RelayCodec.take(body, term.baton, this::rightMs, this::hello).only(term::acting) : Answer.later("not the owner")));
+        mesh.on(Ways.PATH, state.ways()::pass);
+        mesh.on(Ways.WATCH_PATH, state.ways()::pass);
+        mesh.on(PeerReach.PATH, (body, answer) -> PeerReach.answer(workers, body, membership.reachesState(), answer));
+        mesh.on("/jobs", (body, answer) -> answer.accept(users.meshStatus(body)));
+        if (graphs != null) {
+            mesh.on("/graph", graphs::passed);
+        }
+        if (operator.estimates()) {
+            mesh.on("/estimate", (body, answer) -> answer.accept(users.meshEstimate(body)));
+        }
+    }
+
+    private Answer mayKeep(JsonNode body) {
+        boolean own = body != null && term != null && term.acting() && Codec.u64(body.path("baton")) == term.baton;
+        return own ? term.keep(body.path("node").asText(), Codec.u64(body.path("epoch")), Codec.u64(body.path("echo")), body.path("kept").asBoolean())
+                : Answer.later("not the owner under that baton");
+    }
+
     /** The user of the job was told, or may have been told, that it is cancelled; or will be soon. */
     private boolean cancelled(String id) {
         View.Entry e = view.get(Keys.job(id));
--- /dev/null
+++ b/src/main/java/org/hollypick/mesh/Exchange.java
@@ -0,0 +1,31 @@
+package org.hollypick.mesh;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hollypick.io.Answer;
+import org.hollypick.io.Codec;
+
+/** What other controllers ask this one: JSON by POST, each kind of question with a path and someone who answers it. */
+public final class Exchange {
+    /** {@code body}: null if it isn't JSON. */
+    public interface Question {
+        void ask(JsonNode body, Consumer<Answer> answer);
+    }
+
+    private final Map<String, Question> questions = new HashMap<>();
+
+    public void on(String path, Question question) {
+        questions.put(path, question);
+    }
+
+    public void handle(String method, String path, byte[] bytes, Consumer<Answer> answer) {
+        Question question = method.equals("POST") ? questions.get(path) : null;
+        if (question == null) {
+            answer.accept(Answer.error(404, "no such path"));
+        } else {
+            question.ask(Codec.read(bytes, true), answer);
+        }
+    }
+}
