Read again: no look at all machines for each reported task; Term asks Silence itself

While a term isn't settled, each task of each report asked whether it is, which goes through the machines until one isn't known: in a takeover with over a thousand machines that is work for each of tens of thousands of tasks. What was last found out is enough there: a task counted once more means nothing afterwards. Workers passed seven questions on to Silence one by one; Term asks it directly.

--- a/src/main/java/org/hollypick/control/Silence.java
+++ b/src/main/java/org/hollypick/control/Silence.java
@@ -139,6 +139,7 @@
         return now - since > settings.leaseS() * 1_000 * Constants.CUT_OFF_LEASE;
     }
 
+    /** Another controller that this one doesn't reach told, by the state service, that it hears of those machines. */
     void pleaded(List<String> machines) {
         pleadedAt = machines.isEmpty() ? pleadedAt : runtime.now();
         machines.forEach(reach::reached);
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -175,7 +175,7 @@
     public void recordsChanged(Collection<String> keys) {
         long now = runtime.now();
         registry.changed(keys);
-        keys.stream().filter(k -> k.startsWith(Keys.PLEA) && view.get(k) != null).forEach(k -> workers.pleaded(Plea.machines(view.get(k).data(), baton)));
+        keys.stream().filter(k -> k.startsWith(Keys.PLEA) && view.get(k) != null).forEach(k -> workers.silence().pleaded(Plea.machines(view.get(k).data(), baton)));
         for (String key : keys) {
             if (!key.startsWith(Keys.JOB)) {
                 continue;
@@ -265,8 +265,8 @@
         if (acting()) {
             scheduler.tick(now);
             scheduler.passWanted |= now >= nextPass;
-            rentals.giveBack(workers.silent(now), "silent");
-            if (workers.cutOff(now) && (membership.mayResign() || workers.leasesAtStake(now))) {
+            rentals.giveBack(workers.silence().look(now), "silent");
+            if (workers.silence().cutOff(now) && (membership.mayResign() || workers.silence().leasesAtStake(now))) {
                 resignIfBetter();
             }
             workers.contactUnheard();
@@ -276,7 +276,7 @@
             }
             if (now >= nextFleet) {
                 nextFleet = now + Constants.FLEET_MS;
-                rentals.rentAndReturn(workers.dark(), now);
+                rentals.rentAndReturn(workers.silence().dark(), now);
                 if (scheduler.ledger.fenceDue(now)) {
                     membership.fence(baton);
                 } else if (settings.anyLimit() && !membership.limitsKept() && scheduler.limitsKept()) {
@@ -309,9 +309,9 @@
         measuring = true;
         membership.measure(m -> {
             measuring = false;
-            boolean unknown = workers.nobodyTells(runtime.now()) && !m.reachesNearlyAll();
+            boolean unknown = workers.silence().nobodyTells(runtime.now()) && !m.reachesNearlyAll();
             if (acting() && (unknown || m.betterElsewhere())) {
-                LOG.info("cut off from the machines, resigning baton={} {} {}", baton, workers.seen(), m);
+                LOG.info("cut off from the machines, resigning baton={} {} {}", baton, workers.silence().seen(), m);
                 membership.resign();
             }
         });
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -203,34 +203,8 @@
         }
     }
 
-    /** Machines that are lost, as far as this owner can tell. */
-    List<Machine> silent(long now) {
-        return silence.look(now);
-    }
-
-    /** What the last look at silent machines found, for the log. */
-    String seen() {
-        return silence.seen();
-    }
-
-    Set<String> dark() {
-        return silence.dark();
-    }
-
-    boolean cutOff(long now) {
-        return silence.cutOff(now);
-    }
-
-    /** Another controller that this one doesn't reach told, by the state service, that it hears of those machines. */
-    void pleaded(List<String> machines) {
-        silence.pleaded(machines);
-    }
-
-    boolean nobodyTells(long now) {
-        return silence.nobodyTells(now);
-    }
-
-    boolean leasesAtStake(long now) {
-        return silence.leasesAtStake(now);
+    /** What the machines' silence means. */
+    Silence silence() {
+        return silence;
     }
 }
--- a/src/main/java/org/hollypick/core/Ledger.java
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -71,7 +71,7 @@
             if (p != null) {
                 m.listed(p);
                 update(p, t, now);
-                if (r.baton() == baton && p.there() && p.attempt >>> Constants.ATTEMPT_BITS != baton && !scheduler.settled()) {
+                if (r.baton() == baton && p.there() && p.attempt >>> Constants.ATTEMPT_BITS != baton && !scheduler.settledBefore()) {
                     teamUse.found(p.spec, p.attempt);
                 }
             } else if (t.state() != State.EXITED) {
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -235,6 +235,11 @@
         return settled;
     }
 
+    /** Whether that was so when it was last asked: without a look at all machines, for each task of each report. */
+    boolean settledBefore() {
+        return settled;
+    }
+
     /** It is durable that the machine may hold tasks: from now on it may, unless it went while that was written. */
     public void registered(Machine m) {
         m.registered = true;
