--- a/src/main/java/org/hollypick/api/UserApi.java
+++ b/src/main/java/org/hollypick/api/UserApi.java
@@ -322,7 +322,7 @@
         }
         Job job = owned(id);
         if (job != null) {
-            term.get().ends.abort(job, done -> answer.accept(done ? Answer.of(200, body(id, Records.ABORTED, job.done.cardinality(), 0))
+            term.get().ends.cancel(job, done -> answer.accept(done ? Answer.of(200, body(id, Records.ABORTED, job.done.cardinality(), 0))
                     : Answer.later("state service")));
             return;
         }
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -41,8 +41,12 @@
     /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
     public static final int ATTEMPT_BITS = 20;
 
-    /** Milliseconds after a cancellation until a launch still under way calls for a new baton; a third of the time to be gone. */
+    /** Milliseconds for which a cancellation waits for a launch still under way before a new baton ends that: most are heard of, or their machine is gone, by then. */
     public static final long FENCE_MS = 15_000;
+    /** Milliseconds that a user waits for a cancellation before being told to ask again: less than the 2 s for which another controller waits for this answer. */
+    public static final long CANCEL_PATIENCE_MS = 1_800;
+    /** Milliseconds until a cancellation that isn't known to be durable is written again though no user waits: longer than a write may take. */
+    public static final long CANCEL_AGAIN_MS = 3_000;
 
     // ---- machines that only this owner can't reach ----
     /** Milliseconds between two questions to the other controllers about such machines. */
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -3,12 +3,17 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.hollypick.cluster.Keys;
+import org.hollypick.config.Constants;
 import org.hollypick.core.Dependencies;
 import org.hollypick.core.Job;
+import org.hollypick.core.Leases;
 import org.hollypick.core.Scheduler;
 import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
@@ -33,9 +38,32 @@
     private final Consumer<String> ended;
     /** Jobs whose cancellation went out and may be, or become, durable. */
     private final Set<String> abortsInDoubt = new HashSet<>();
+    /** Live jobs that are to be cancelled. */
+    private final Map<String, Cancellation> cancelling = new LinkedHashMap<>();
+    private long firstCancelAt = Long.MAX_VALUE;
     /** The newest change by which a job was cancelled in this term, as far as this node knows. */
     private long cancelledAt;
 
+    /** A cancellation that isn't known to be durable yet. */
+    private static final class Cancellation {
+        private final Job job;
+        private final long since;
+        private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+        private boolean writing;
+        private long writtenAt = Leases.NEVER;
+
+        Cancellation(Job job, long since) {
+            this.job = job;
+            this.since = since;
+        }
+
+        void tell(boolean durable) {
+            List<Consumer<Boolean>> told = new ArrayList<>(waiting);
+            waiting.clear();
+            told.forEach(t -> t.accept(durable));
+        }
+    }
+
     Ends(Runtime runtime, Scheduler scheduler, Dependencies dependencies, StateClient state, Runnable changed,
             BiFunction<Job, String, ObjectNode> record, Consumer<String> ended) {
         this.baton = scheduler.baton;
@@ -55,27 +83,74 @@
         ended.accept(id);
         abortsInDoubt.remove(id);
         if (status.equals(Records.ABORTED)) {
-            scheduler.abort(job, runtime.now());
+            scheduler.abort(job);
             dependencies.cancelled(id);
         } else {
             scheduler.close(job);
             dependencies.done(id);
         }
+        Cancellation c = cancelling.remove(id);
+        if (c != null) {
+            c.tell(status.equals(Records.ABORTED));
+        }
+        changed.run();
+    }
+
+    /**
+     * Cancels a job: its tasks go at once, and its end is written, again and again until that is known to be durable. {@code told} gets true once it is, false
+     * if that takes longer than its user waits: by then another node may tell it all the same.
+     */
+    public void cancel(Job job, Consumer<Boolean> told) {
+        Cancellation c = cancelling.computeIfAbsent(job.spec.id(), id -> new Cancellation(job, runtime.now()));
+        c.waiting.add(told);
+        runtime.after(Constants.CANCEL_PATIENCE_MS, () -> {
+            if (c.waiting.remove(told)) {
+                told.accept(false);
+            }
+        });
+        scheduler.cancel(job);
         changed.run();
     }
 
-    /** Commits the end of a job; {@code done} gets true once it is durable, false if that isn't known. */
-    public void abort(Job job, Consumer<Boolean> done) {
-        commit(job, Records.ABORTED, r -> {
-            LOG.info("abort job={} status={} baton={}", job.spec.id(), r.status(), baton);
+    /**
+     * Writes the cancellations that wait. None while a launch of the job may yet be carried out: nobody can be told before, so nothing of it comes after
+     * its time. {@code reachable}: without a user who waits it is tried only then, and after everything that users wait for.
+     */
+    void writeCancellations(boolean reachable) {
+        long now = runtime.now();
+        for (Cancellation c : new ArrayList<>(cancelling.values())) {
+            boolean again = reachable && now - c.writtenAt >= Constants.CANCEL_AGAIN_MS && state.spare();
+            if (!c.writing && (again || !c.waiting.isEmpty()) && !scheduler.ledger.launchUnderWay(c.job)) {
+                write(c);
+            }
+        }
+    }
+
+    private void write(Cancellation c) {
+        c.writing = true;
+        c.writtenAt = runtime.now();
+        firstCancelAt = Math.min(firstCancelAt, c.writtenAt);
+        commit(c.job, Records.ABORTED, r -> {
+            c.writing = false;
+            LOG.info("abort job={} status={} baton={}", c.job.spec.id(), r.status(), baton);
             if (r.ok()) {
                 cancelledAt(Codec.u64(r.body().path("epoch")));
-                over(job, Records.ABORTED);
+                over(c.job, Records.ABORTED);
             }
-            done.accept(r.ok());
+            c.tell(r.ok());
         });
     }
 
+    /** A launch has kept a cancellation waiting for so long that a new baton has to end it: workers refuse what was sent under the older one. */
+    boolean fenceDue(long now) {
+        return cancelling.values().stream().anyMatch(c -> now - c.since > Constants.FENCE_MS && scheduler.ledger.launchUnderWay(c.job));
+    }
+
+    /** When the first cancellation of this term was written; it can't have been told before. */
+    long firstCancelAt() {
+        return firstCancelAt;
+    }
+
     /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
     private void commit(Job job, String status, Consumer<Reply> reply) {
         String id = job.spec.id();
@@ -108,9 +183,9 @@
         return abortsInDoubt.isEmpty() && Long.compareUnsigned(epoch, cancelledAt) >= 0;
     }
 
-    /** Its user asked to cancel it, and that may be durable. */
-    public boolean cancellationInDoubt(String id) {
-        return abortsInDoubt.contains(id);
+    /** It is to be cancelled, and that may be durable. */
+    public boolean cancelling(String id) {
+        return cancelling.containsKey(id);
     }
 
     /** Whether another node may already tell an end of the job: its own, or the cancellation of one that it needs. */
--- a/src/main/java/org/hollypick/control/Graphs.java
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -481,14 +481,14 @@
                 String why = "failed " + (g.head.retries() + 1) + " times";
                 g.end(i, Graph.State.FAILED, why, () -> {
                     if (g.head.endOnFailure() && !g.over()) {
-                        ends.abort(g.job, done -> { });
+                        ends.cancel(g.job, durable -> { });
                     }
                 });
             }
             if (!g.graph.sealed() && !g.sealing && now - g.since > Constants.GRAPH_SEAL_MS) {
                 g.sealing = true; // nothing is added to it any more
                 LOG.info("graph not sealed in time graph={} baton={}", g.id, scheduler.baton);
-                ends.abort(g.job, done -> g.sealing = done);
+                ends.cancel(g.job, durable -> { });
             }
             if (g.job.finished() && g.log.isEmpty()) {
                 scheduler.progressDirty.add(g.job);
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -152,7 +152,7 @@
 
     /** A worker's report, through that controller, while this node may act. */
     public Answer hello(Report r, String via) {
-        return workers.hello(r, via);
+        return workers.hello(r, via, ends.firstCancelAt());
     }
 
     /** Whether this node may act for this term now. */
@@ -218,8 +218,7 @@
         for (String id : dependencies.takeChanged()) {
             Job job = scheduler.jobs.get(id);
             if (job != null && dependencies.isCancelled(id)) {
-                scheduler.jobs.remove(id);
-                scheduler.abort(job, runtime.now());
+                ends.over(job, Records.ABORTED);
                 cascade.add(id, job.order);
             } else if (job != null) {
                 scheduler.follow(job, dependencies.ready(id), dependencies.rank(id));
@@ -277,7 +276,7 @@
             if (now >= nextFleet) {
                 nextFleet = now + Constants.FLEET_MS;
                 rentals.rentAndReturn(workers.silence().dark(), now);
-                if (scheduler.ledger.fenceDue(now)) {
+                if (ends.fenceDue(now) || scheduler.ledger.attemptsShort()) {
                     membership.fence(baton);
                 } else if (settings.anyLimit() && !membership.limitsKept() && scheduler.limitsKept()) {
                     membership.limitsKeptFromNow(baton); // once, after owners of an older version or with other limits
@@ -342,6 +341,7 @@
                 graphs.flush();
             }
             ends.closeFinished();
+            ends.writeCancellations(membership.reachesState());
             register();
             progress.flush();
             cascade.flush();
--- a/src/main/java/org/hollypick/core/Job.java
+++ b/src/main/java/org/hollypick/core/Job.java
@@ -28,7 +28,8 @@
     public boolean ready;
     /** Its own rank, or a higher one of a job that needs it. */
     public JobSpec.Rank rank;
-    public long abortedAt;
+    /** Its user asked to cancel it: nothing of it starts any more, whether that is durable yet or not. */
+    public boolean withdrawn;
     public final BitSet done = new BitSet();
     /** Progress that is durable already. */
     public BitSet committed = new BitSet();
@@ -98,7 +99,7 @@
 
     /** Whether that task may still start. */
     boolean wanted(int index) {
-        return status == Status.LIVE && !done.get(index) && (set == null || set.wanted(index));
+        return status == Status.LIVE && !withdrawn && !done.get(index) && (set == null || set.wanted(index));
     }
 
     /** {@code committed} holds more than before. */
--- a/src/main/java/org/hollypick/core/Ledger.java
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -181,6 +181,9 @@
         if (t.state() != State.EXITED) {
             job.placed(p);
             teamUse.add(p.spec, 1);
+            if (job.withdrawn) {
+                stop(p, 0);
+            }
         }
         return p;
     }
@@ -394,21 +397,18 @@
         }
     }
 
-    /**
-     * Whether a new baton is due: a cancelled task's direct launch has been under way for so long that it might be executed
-     * after the job's time to be gone, and only a newer token makes workers refuse it; or attempt numbers are nearly used up.
-     */
-    public boolean fenceDue(long now) {
-        if (attempts > (1L << Constants.ATTEMPT_BITS) - 10_000) {
-            return true;
-        }
-        for (Machine m : scheduler.machines.values()) {
-            for (Placement p : m.placements.values()) {
-                if (p.job.status == Job.Status.ABORTED && p.state() == State.SENT && p.directDoubt && now - p.job.abortedAt > Constants.FENCE_MS) {
-                    return true;
-                }
+    /** Whether a launch of this job that went out directly may yet be carried out, at any time while the machine's tenure and token last. */
+    public boolean launchUnderWay(Job job) {
+        for (Placement p : job.live.values()) {
+            if (p.state() == State.SENT && (p.directInFlight || p.directDoubt)) {
+                return true;
             }
         }
         return false;
     }
+
+    /** Attempt numbers are nearly used up: a new baton brings new ones. */
+    public boolean attemptsShort() {
+        return attempts > (1L << Constants.ATTEMPT_BITS) - 10_000;
+    }
 }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -159,10 +159,12 @@
         return estimates.meanS(spec);
     }
 
-    /** The abort is durable: nothing of the job may start from here on, and all of it goes. */
-    public void abort(Job job, long now) {
-        job.status = Job.Status.ABORTED;
-        job.abortedAt = now;
+    /**
+     * Its user asked to cancel it: whoever sees that in the records first may tell so from now on, and this owner need not be the first. Nothing of the job
+     * starts from here on, and all of it goes; what it would do yet is of use to nobody.
+     */
+    public void cancel(Job job) {
+        job.withdrawn = true;
         job.pending.clear();
         for (Placement p : new ArrayList<>(job.live.values())) {
             ledger.stop(p, 0);
@@ -170,6 +172,12 @@
         passWanted = true;
     }
 
+    /** The cancellation is durable. */
+    public void abort(Job job) {
+        cancel(job);
+        job.status = Job.Status.ABORTED;
+    }
+
     public void close(Job job) {
         job.status = Job.Status.DONE;
         job.committed = job.done;
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -176,26 +176,45 @@
         Job job = limited.addJob(spec("req-1", 4, false), 1, 5);
         limited.pass(0);
         assertEquals(2, job.live.size());
-        limited.abort(job, 0);
+        limited.abort(job);
         Job next = limited.addJob(spec("req-2", 4, false), 2, 5);
         limited.pass(0);
         assertEquals(0, next.live.size(), "launches in flight still count");
     }
 
-    /** A held-back launch of a cancelled job could be executed long after; only a newer token stops it for certain. */
+    /** A held-back launch of a cancelled job could be executed long after its user was told: until the machine shows it, nobody may be told. */
     @Test
-    void aLaunchInDoubtOfACancelledJobCallsForANewBaton() {
+    void aLaunchOfACancelledJobIsUnderWayUntilTheMachineShowsIt() {
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         launched(job, m, 0);
         List<Order> orders = scheduler.ledger.orders(m);
         scheduler.ledger.sentDirect(m, orders);
+        scheduler.cancel(job);
+        assertTrue(scheduler.ledger.launchUnderWay(job));
         scheduler.ledger.directEnded(m, orders, 1, false);
-        scheduler.abort(job, 1_000);
-        assertFalse(scheduler.ledger.fenceDue(2_000));
-        assertTrue(scheduler.ledger.fenceDue(20_000));
+        assertTrue(scheduler.ledger.launchUnderWay(job));
+        scheduler.ledger.report(m, report("n-1", 1, 20, 5), true, 20_000);
+        assertTrue(scheduler.ledger.launchUnderWay(job), "a report that doesn't show it proves nothing");
+        Placement p = job.live.get(0);
+        scheduler.ledger.report(m, report("n-1", 1, 21, 5, new TaskReport(p.taskId, p.attempt, State.FETCHING, "")), true, 21_000);
+        assertFalse(scheduler.ledger.launchUnderWay(job));
+        assertEquals(List.of(new Order(Order.Verb.STOP, p.taskId, p.attempt, 0)), scheduler.ledger.orders(m));
+    }
+
+    /** Its tenure has ended, and the launch with it. */
+    @Test
+    void aNewTenureEndsALaunchUnderWay() {
+        Machine m = reporting();
+        Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
+        launched(job, m, 0);
+        List<Order> orders = scheduler.ledger.orders(m);
+        scheduler.ledger.sentDirect(m, orders);
+        scheduler.ledger.directEnded(m, orders, 1, false);
+        scheduler.cancel(job);
         scheduler.ledger.report(m, report("n-1", 2, 2, 5), true, 21_000);
-        assertFalse(scheduler.ledger.fenceDue(22_000));
+        assertFalse(scheduler.ledger.launchUnderWay(job));
+        assertFalse(job.waits(), "it isn't started again");
     }
 
     @Test
--- a/src/test/java/org/hollypick/graph/GraphQueueTest.java
+++ b/src/test/java/org/hollypick/graph/GraphQueueTest.java
@@ -121,7 +121,7 @@
                 if (random.nextInt(25) == 0 && !jobs.isEmpty()) {
                     Job job = jobs.get(random.nextInt(jobs.size()));
                     scheduler.jobs.remove(job.spec.id());
-                    scheduler.abort(job, now);
+                    scheduler.abort(job);
                 }
                 scheduler.tick(now);
                 scheduler.pass(now);
--- a/src/test/java/org/hollypick/sim/Checker.java
+++ b/src/test/java/org/hollypick/sim/Checker.java
@@ -251,17 +251,24 @@
         calmFrom = now;
     }
 
+    /** What lasts is named once. */
+    private void once(String rule) {
+        if (!broken.contains(rule)) {
+            broken.add(rule);
+        }
+    }
+
     /** Looked at regularly: what may not stay as it is. */
     void sweep(long now) {
         answeredAt.forEach((id, at) -> {
             if (!asked.contains(id) && calmFrom < now && now - Math.max(at, calmFrom) > FORGOTTEN_MS) {
-                broken.add("forgotten " + id + " unanswered since " + at);
+                once("forgotten " + id + " unanswered since " + at);
             }
         });
         on.forEach((task, where) -> {
             Long told = toldCancelledAt.get(job(task));
             if (told != null && now > told + cancelMs && !where.isEmpty()) {
-                broken.add("ran_cancelled (still there) " + task);
+                once("ran_cancelled (still there) " + task);
             }
         });
     }
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -112,6 +112,10 @@
     double costMs;
     private int jobs;
     private boolean lasting;
+    /** How many times as long as usual tasks run. */
+    double length = 1;
+    /** One in so many arrays is cancelled. */
+    int cancelledOf = 6;
     private final Set<String> keep = new HashSet<>();
     private final Set<String> hasty = new HashSet<>();
 
@@ -247,7 +251,7 @@
                 .put("shape", service ? "standing" : "batch").put("rank", service ? "prod" : world.random.nextBoolean() ? "standard" : "low")
                 .put("shards", 1 + world.random.nextInt(6 * size)).put("cores", 1.0 + world.random.nextInt(2)).put("gpus", 0.0).put("ram_gb", 2.0)
                 .put("together", !service && world.random.nextInt(4) == 0).put("spread", service).put("lendable", !service)
-                .put("bundle", "img-" + world.random.nextInt(3)).put("pull_gb", 1.0).put("expect_s", service ? 0.0 : 4.0 + world.random.nextInt(15))
+                .put("bundle", "img-" + world.random.nextInt(3)).put("pull_gb", 1.0).put("expect_s", service ? 0.0 : length * (4.0 + world.random.nextInt(15)))
                 .put("bookmark_s", 0.0).put("stow_s", 0.0);
         begin(id, b);
     }
@@ -330,6 +334,11 @@
 
     /** A user's request and its answer, while time goes on. */
     Reply ask(String method, String path, JsonNode body) {
+        return askAt(world.random.nextInt(3), method, path, body);
+    }
+
+    /** The same at one controller. */
+    Reply askAt(int node, String method, String path, JsonNode body) {
         Reply[] answer = {null};
         if (path.equals("/submissions") && !checker.submitted.containsKey(body.path("name_id").asText())) {
             checker.submitting(body.path("name_id").asText(), body, world.now);
@@ -337,7 +346,13 @@
         if (path.endsWith("/withdraw")) {
             checker.withdrawing(path.split("/")[2]);
         }
-        world.send("user", new Call(anyNode(), method, path, body, 5_000, false), r -> answer[0] = r);
+        long asked = world.now;
+        world.send("user", new Call("p" + node + ":1", method, path, body, 5_000, false), r -> {
+            answer[0] = r;
+            if (r.status() == 200 && path.startsWith("/submissions/")) {
+                checker.told(path.split("/")[2], r.body().path("status").asText(), asked, world.now);
+            }
+        });
         while (answer[0] == null) {
             play(10);
         }
@@ -371,7 +386,7 @@
             if (r.status() == 201 || r.status() == 200) {
                 checker.told(id, r.body().path("status").asText(), asked, world.now);
                 poll(id);
-                if (!keep.contains(id) && (b.path("shape").asText().equals("standing") || world.random.nextInt(6) == 0)) {
+                if (!keep.contains(id) && (b.path("shape").asText().equals("standing") || world.random.nextInt(cancelledOf) == 0)) {
                     world.at(world.random.nextInt(60_000), () -> withdraw(id));
                 }
                 world.at(world.random.nextInt(100_000), () -> again(id, b));
@@ -409,9 +424,14 @@
     }
 
     private void withdraw(String id) {
+        withdrawAt(world.random.nextInt(3), id);
+    }
+
+    /** Repeated, at any controller, until it is answered. */
+    void withdrawAt(int node, String id) {
         checker.withdrawing(id);
         long asked = world.now;
-        world.send("user", new Call(anyNode(), "POST", "/submissions/" + id + "/withdraw", Codec.object(), 5_000, false), r -> {
+        world.send("user", new Call("p" + node + ":1", "POST", "/submissions/" + id + "/withdraw", Codec.object(), 5_000, false), r -> {
             if (r.status() == 200) {
                 checker.told(id, r.body().path("status").asText(), asked, world.now);
             } else {
@@ -633,6 +653,47 @@
         }
     }
 
+    /** Troubles that meet: of each pair the second begins within a hold, a lease or a cancelled task's time of the first. */
+    void drawMeetings(int pairs, long from, long to) {
+        for (int i = 0; i < pairs; i++) {
+            long first = from + world.random.nextInt((int) (to - from));
+            long within = List.of(4_000L, leaseMs, leaseMs + CANCEL_MS).get(world.random.nextInt(3));
+            world.at(first, this::meeting);
+            world.at(first + world.random.nextInt((int) within), this::meeting);
+        }
+    }
+
+    /** One trouble of those that broke rules together with another: most strike the leading controller. */
+    private void meeting() {
+        int led = state.data("h/roster") == null ? 0 : leader();
+        String leader = "bothy-" + led;
+        long ms = 1_000 + world.random.nextInt(20_000);
+        switch (world.random.nextInt(14)) {
+            case 0, 1 -> world.refuse(leader, "state:1", ms);
+            case 2, 3 -> state.outage(leaseMs + CANCEL_MS + ms);
+            case 4 -> {
+                world.lateWriteShare = 0.2;
+                world.at(ms, () -> world.lateWriteShare = 0);
+            }
+            case 5 -> world.slow("state:1", 3_000, ms);
+            case 6 -> cutFromStateAndPeers(led, 2 * ms);
+            case 7 -> world.cutOneWay("state:1", leader, ms);
+            case 8 -> crash(led, restartMs(5_000));
+            case 9 -> crashAll();
+            case 10 -> freeze(led, ms);
+            case 11 -> cutFromWorkers(led, 2 * ms, some());
+            case 12 -> cloud.workers().stream().filter(w -> world.random.nextInt(3) == 0).forEach(w -> deafen(w, 2 * ms));
+            default -> cloud.workers().stream().filter(w -> world.random.nextInt(3) == 0).forEach(w -> w.hang(ms));
+        }
+    }
+
+    /** The names of some machines. */
+    private Set<String> some() {
+        Set<String> names = new HashSet<>(cloud.names());
+        names.removeIf(n -> world.random.nextInt(3) == 0);
+        return names;
+    }
+
     Day play(long ms) {
         world.runUntil(world.now + ms);
         return this;
--- a/src/test/java/org/hollypick/sim/Served.java
+++ b/src/test/java/org/hollypick/sim/Served.java
@@ -9,7 +9,7 @@
 
 /**
  * Reads reports of the operators' bench (its {@code --report}) and prints what share of each class of jobs and team was served: by the strictest and by the
- * loosest of a class's aims, and of a team's jobs those that started. A class of its own for each team (as variants have them) shows the team. Ends with 1 if any is
+ * loosest of a class's aims, and of a team's jobs, and a class's largest ones, those that started. A class of its own for each team (as variants have them) shows the team. Ends with 1 if any is
  * under half by the loosest: a strict one is a matter of speed.
  */
 public final class Served {
@@ -29,6 +29,8 @@
             }
             report.path("teams").fields().forEachRemaining(t -> shares.computeIfAbsent("team " + t.getKey(), n -> new TreeMap<>())
                     .put(t.getValue().path("started").asDouble() / Math.max(1, t.getValue().path("jobs").asInt()), "started"));
+            report.path("largest").fields().forEachRemaining(t -> shares.computeIfAbsent("largest " + t.getKey(), n -> new TreeMap<>())
+                    .put(t.getValue().path("started").asDouble() / Math.max(1, t.getValue().path("jobs").asInt()), "started"));
             for (Map.Entry<String, TreeMap<Double, String>> e : shares.entrySet()) {
                 Map.Entry<Double, String> strict = e.getValue().firstEntry();
                 Map.Entry<Double, String> loose = e.getValue().lastEntry();
--- a/src/test/java/org/hollypick/sim/World.java
+++ b/src/test/java/org/hollypick/sim/World.java
@@ -19,6 +19,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.hollypick.io.Call;
+import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.config.Constants;
 import org.hollypick.io.Runtime;
@@ -61,6 +62,12 @@
     double lateShare;
     /** Chance that a machine's report arrives once more, up to a minute later. */
     double copyShare;
+    /** Chance that a transaction gets no answer and is carried out 2 to 12 s later. */
+    double lateWriteShare;
+    /** Hosts whose calls to an address are answered with 503 at once, as one that is overloaded refuses a single caller. */
+    private final Set<String> refused = new HashSet<>();
+    /** Milliseconds that calls to an address take longer, at most. */
+    private final Map<String, Integer> slow = new HashMap<>();
     private String digest;
     /** Sees what controllers send, in the moment of sending. */
     BiConsumer<String, Call> sending = (from, call) -> { };
@@ -120,6 +127,22 @@
         });
     }
 
+    /** That host's calls to the address are refused; those already waiting there, as a watch does, go on waiting. */
+    void refuse(String from, String to, long ms) {
+        refused.add(from + ">" + to);
+        at(ms, () -> refused.remove(from + ">" + to));
+    }
+
+    /** Calls to the address, and its answers, each take up to that much longer, and may overtake one another. */
+    void slow(String address, int byMs, long ms) {
+        slow.put(address, byMs);
+        at(ms, () -> slow.remove(address));
+    }
+
+    private long latency(String address) {
+        return 1 + random.nextInt(5) + (slow.isEmpty() ? 0 : random.nextInt(1 + slow.getOrDefault(address, 0)));
+    }
+
     /** The same request once more, after a while, to another address; nobody gets its answer. */
     private void copy(Call call) {
         if (call.path().equals("/hello") && copyShare > 0 && random.nextDouble() < copyShare) {
@@ -168,14 +191,22 @@
         }
         at(call.timeoutMs(), () -> once.accept(Reply.noAnswer()));
         copy(call);
-        long latency = 1 + random.nextInt(5);
+        if (refused.contains(from + ">" + call.address())) {
+            at(2, () -> once.accept(new Reply(503, Codec.object())));
+            return;
+        }
+        if (lateWriteShare > 0 && call.path().equals("/commit") && random.nextDouble() < lateWriteShare) {
+            at(2_000 + random.nextInt(10_000), () -> e.request(call.method(), call.path(), call.body(), r -> { }));
+            return;
+        }
+        long latency = latency(call.address());
         int life = e.life();
         Runnable deliver = () -> {
             if (!e.listens() || e.life() != life) {
                 return;
             }
             e.request(call.method(), call.path(), call.body(), r -> {
-                Runnable answer = () -> at(1 + random.nextInt(5), () -> once.accept(r));
+                Runnable answer = () -> at(latency(call.address()), () -> once.accept(r));
                 if (shut(link, from, call.address(), true)) {
                     held.computeIfAbsent(link, k -> new ArrayList<>()).add(answer);
                 } else {
