--- a/src/main/java/org/hollypick/cluster/Keeper.java
+++ b/src/main/java/org/hollypick/cluster/Keeper.java
@@ -121,13 +121,10 @@
         return keeping;
     }
 
-    /**
-     * The answer to a worker that has nobody else; null if it has seen another baton: a newer one, since it would have to drop the answer, or an older one,
-     * since what an older owner launched may come between its report and the answer, and stay for another lease.
-     */
+    /** The answer to a worker that has nobody else; null if it has seen a newer baton, since it would have to drop the answer. */
     public Answer answer(Report report) {
         long baton = membership.rosterStamp();
-        if (report.baton() != baton) {
+        if (Long.compareUnsigned(report.baton(), baton) > 0) {
             return null;
         }
         kept++;
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -40,7 +40,6 @@
     private final Set<String> abortsInDoubt = new HashSet<>();
     /** Live jobs that are to be cancelled. */
     private final Map<String, Cancellation> cancelling = new LinkedHashMap<>();
-    private long firstCancelAt = Long.MAX_VALUE;
     /** The newest change by which a job was cancelled in this term, as far as this node knows. */
     private long cancelledAt;
 
@@ -113,14 +112,14 @@
     }
 
     /**
-     * Writes the cancellations that wait. None while a launch of the job may yet be carried out: nobody can be told before, so nothing of it comes after
-     * its time. {@code reachable}: without a user who waits it is tried only then, and after everything that users wait for.
+     * Writes the cancellations that wait. None while a launch of the job may yet be carried out: so from the moment when anybody can be told, all that there is
+     * of it is shown by the reports that are answered, and told to end by each answer. {@code reachable}: without a user who waits it is tried only then, and after everything that users wait for.
      */
     void writeCancellations(boolean reachable) {
         long now = runtime.now();
         for (Cancellation c : new ArrayList<>(cancelling.values())) {
             boolean again = reachable && now - c.writtenAt >= Constants.CANCEL_AGAIN_MS && state.spare();
-            if (!c.writing && (again || !c.waiting.isEmpty()) && !scheduler.ledger.launchUnderWay(c.job)) {
+            if (!c.writing && (again || !c.waiting.isEmpty()) && !scheduler.launchMayCome(c.job)) {
                 write(c);
             }
         }
@@ -129,7 +128,6 @@
     private void write(Cancellation c) {
         c.writing = true;
         c.writtenAt = runtime.now();
-        firstCancelAt = Math.min(firstCancelAt, c.writtenAt);
         commit(c.job, Records.ABORTED, r -> {
             c.writing = false;
             LOG.info("abort job={} status={} baton={}", c.job.spec.id(), r.status(), baton);
@@ -146,11 +144,6 @@
         return cancelling.values().stream().anyMatch(c -> now - c.since > Constants.FENCE_MS && scheduler.ledger.launchUnderWay(c.job));
     }
 
-    /** When the first cancellation of this term was written; it can't have been told before. */
-    long firstCancelAt() {
-        return firstCancelAt;
-    }
-
     /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
     private void commit(Job job, String status, Consumer<Reply> reply) {
         String id = job.spec.id();
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -152,7 +152,7 @@
 
     /** A worker's report, through that controller, while this node may act. */
     public Answer hello(Report r, String via) {
-        return workers.hello(r, via, ends.firstCancelAt());
+        return workers.hello(r, via);
     }
 
     /** Whether this node may act for this term now. */
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -9,7 +9,6 @@
 import org.hollypick.config.Constants;
 import org.hollypick.config.Settings;
 import org.hollypick.core.Ledger;
-import org.hollypick.core.Leases;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.heed.Heed;
@@ -59,8 +58,8 @@
         this.silence = new Silence(runtime, settings, scheduler, own, this::probe);
     }
 
-    /** A worker's report, which came through that controller, while this node may act. {@code firstCancelAt}: of this term's cancellations the first. */
-    Answer hello(Report r, String via, long firstCancelAt) {
+    /** A worker's report, which came through that controller, while this node may act. */
+    Answer hello(Report r, String via) {
         long now = runtime.now();
         if (Long.compareUnsigned(r.baton(), scheduler.baton) > 0 || scheduler.gone.contains(r.machine())) {
             return Answer.later("not for this node");
@@ -97,11 +96,6 @@
         if (scheduler.freed.remove(m)) {
             scheduler.fill(m, now);
         }
-        if (!m.heard && now - firstCancelAt > Leases.afterCancelMs(settings)) {
-            // An older owner's launch may come between this report and its answer, and stay for the lease that the answer renews. A question brings the token, and renews nothing.
-            probe(m);
-            return Answer.later("the token first");
-        }
         List<Order> orders = limited(scheduler.ledger.orders(m));
         if (word == Heed.Word.NEW && !heeds(m, r, was && r.tenure() != before, orders, now)) {
             return Answer.later("answers don't reach the machine");
--- a/src/main/java/org/hollypick/core/Leases.java
+++ b/src/main/java/org/hollypick/core/Leases.java
@@ -61,15 +61,10 @@
      * grant, so whatever it keeps has to be gone, its lease included, within the time that a cancelled task has.
      */
     public static long windowMs(Settings settings) {
-        long window = afterCancelMs(settings);
+        long window = (long) ((settings.cancelS() - settings.leaseS()) * 1000) - Constants.KEEP_MARGIN_MS;
         return window < Constants.KEEP_LEAST_MS ? 0 : window;
     }
 
-    /** For how long after a cancellation was told a lease may be renewed under which one of its tasks may run yet, in milliseconds. */
-    public static long afterCancelMs(Settings settings) {
-        return (long) ((settings.cancelS() - settings.leaseS()) * 1000) - Constants.KEEP_MARGIN_MS;
-    }
-
     private static long possibly(long ms) {
         return (long) (ms * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS;
     }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -236,6 +236,11 @@
         }
     }
 
+    /** Whether a launch of the job may yet be carried out that no report has shown: this owner's, or an older one's on a machine that isn't heard yet. */
+    public boolean launchMayCome(Job job) {
+        return ledger.launchUnderWay(job) || job.under != baton && !settled && !machines.values().stream().allMatch(m -> m.heard);
+    }
+
     /** Whether no machine of an earlier term can still hold tasks that this one doesn't know of. Once so, it stays so. */
     public boolean settled() {
         if (!settled) {
