--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -294,6 +294,11 @@
         return entitled && baton != 0 && baton == baton();
     }
 
+    /** By what this node may act, and renew leases, under this baton right now, for the log. */
+    public String right(long baton) {
+        return !entitled(baton) ? "none" : valid() ? "hold" : "promises";
+    }
+
     /** The hold that this node's keys are attached to; null while there is none that is certainly valid. */
     public Long tenancy() {
         return valid() ? tenancy : null;
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -100,7 +100,10 @@
      * if that takes longer than its user waits: by then another node may tell it all the same.
      */
     public void cancel(Job job, Consumer<Boolean> told) {
-        Cancellation c = cancelling.computeIfAbsent(job.spec.id(), id -> new Cancellation(job, runtime.now()));
+        Cancellation c = cancelling.computeIfAbsent(job.spec.id(), id -> {
+            LOG.info("cancelling job={} baton={} launch_may_come={}", id, baton, scheduler.launchMayCome(job));
+            return new Cancellation(job, runtime.now());
+        });
         c.waiting.add(told);
         runtime.after(Constants.CANCEL_PATIENCE_MS, () -> {
             if (c.waiting.remove(told)) {
@@ -113,7 +116,8 @@
 
     /**
      * Writes the cancellations that wait. None while a launch of the job may yet be carried out: so from the moment when anybody can be told, all that there is
-     * of it is shown by the reports that are answered, and told to end by each answer. {@code reachable}: without a user who waits it is tried only then, and after everything that users wait for.
+     * of it is shown by the reports that are answered, and told to end by each answer. {@code reachable}: the state service answers; without a user who waits
+     * it is written only then, and after everything that users wait for.
      */
     void writeCancellations(boolean reachable) {
         long now = runtime.now();
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -68,6 +68,8 @@
     private final Learned learned;
 
     private boolean ended;
+    /** By what this node last acted, as it was logged. */
+    private String right = "";
     private boolean pumping;
     private long lastTick;
     private final OwnTrouble own;
@@ -261,6 +263,7 @@
             own.seen(now); // this node itself was held up, so silence proves nothing yet
         }
         lastTick = now;
+        logRight(now);
         if (acting()) {
             scheduler.tick(now);
             scheduler.passWanted |= now >= nextPass;
@@ -297,6 +300,14 @@
         runtime.after(Constants.TICK_MS, this::loop);
     }
 
+    private void logRight(long now) {
+        String is = membership.right(baton);
+        if (!is.equals(right)) {
+            right = is;
+            LOG.info("right to act and to renew leases by={} ms={} baton={}", right, membership.entitledUntil(baton) - now, baton);
+        }
+    }
+
     /**
      * Machines are out of reach from here: gives up the lead if another reaches, alone, what this owner does with the help of all; or if those that it can't ask may
      * do better, unless it reaches nearly all by some way.
--- a/src/test/java/org/hollypick/sim/MeetingsTest.java
+++ b/src/test/java/org/hollypick/sim/MeetingsTest.java
@@ -12,6 +12,7 @@
 import org.hollypick.Node;
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
+import org.hollypick.io.Codec;
 import org.hollypick.io.Reply;
 import org.hollypick.io.Runtime;
 import org.junit.jupiter.api.Test;
@@ -327,6 +328,36 @@
         return day;
     }
 
+    /** Requests that are wrong, doubled or about what nobody knows, while a cancellation is in doubt and the service away, and after. */
+    @Test
+    void wrongAndDoubledRequestsWhileACancellationIsInDoubt() {
+        for (int seed = 1; seed <= 5; seed++) {
+            Day day = dayWithRunningServices(seed);
+            int leader = day.leader();
+            day.world.cutOneWay("state:1", "bothy-" + leader, 14_000);
+            day.withdrawAt(leader, "req-000000");
+            day.play(60);
+            day.state.outage(OUTAGE_MS);
+            day.play(5_000);
+            for (int node = 0; node < 3; node++) {
+                assertEquals(503, day.askAt(node, "POST", "/submissions/req-777777/withdraw", Codec.object()).status(), "nobody can know");
+                assertEquals(404, day.askAt(node, "POST", "/submissions/nonsense/withdraw", Codec.object()).status());
+            }
+            assertEquals(503, day.askAt(leader, "GET", "/submissions/req-000000", null).status(), "the leader can't know");
+            day.play(OUTAGE_MS);
+            for (int node = 0; node < 3; node++) {
+                assertEquals(404, day.askAt(node, "POST", "/submissions/req-777777/withdraw", Codec.object()).status());
+                assertEquals("aborted", day.askAt(node, "POST", "/submissions/req-000000/withdraw", Codec.object()).body().path("status").asText());
+            }
+            for (int node = 0; node < 3; node++) {
+                day.withdrawAt(node, "req-000001"); // at all three at once
+            }
+            day.play(10_000);
+            assertTrue(day.checker.isOver("req-000001"));
+            assertEquals(List.of(), day.checker.broken, "seed " + seed);
+        }
+    }
+
     @Test
     void drawnDaysOfMeetingTroublesKeepTheRules() {
         Map<Integer, List<String>> broken = new TreeMap<>();
