--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -32,6 +32,8 @@
     /** Earlier owners kept the same limits of teams. */
     private boolean olderKeptLimits;
     private long unheardAt = -1;
+    private boolean allHeard;
+    private long heardAskedAt = -1;
     long lastNow;
     private Arrived arrived = new Arrived(0, 0, 0);
     /** Work of tasks that were released since that was last taken: there may be thousands at once. */
@@ -238,7 +240,16 @@
 
     /** Whether a launch of the job may yet be carried out that no report has shown: this owner's, or an older one's on a machine that isn't heard yet. */
     public boolean launchMayCome(Job job) {
-        return ledger.launchUnderWay(job) || job.under != baton && !settled && !machines.values().stream().allMatch(m -> m.heard);
+        return ledger.launchUnderWay(job) || job.under != baton && !allHeard();
+    }
+
+    /** Once so, it stays so; asked for many jobs in one moment. */
+    private boolean allHeard() {
+        if (!allHeard && heardAskedAt != lastNow) {
+            heardAskedAt = lastNow;
+            allHeard = machines.values().stream().allMatch(m -> m.heard);
+        }
+        return allHeard;
     }
 
     /** Whether no machine of an earlier term can still hold tasks that this one doesn't know of. Once so, it stays so. */
