--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -591,7 +591,7 @@
         WorkerStandIn w = workers.isEmpty() ? null : workers.get(world.random.nextInt(workers.size()));
         int node = world.random.nextInt(3);
         long ms = 1_000 + world.random.nextInt(30_000);
-        switch (world.random.nextInt(18)) {
+        switch (world.random.nextInt(21)) {
             case 0, 1 -> crash(node, restartMs(10_000));
             case 2 -> crashAll();
             case 3 -> state.outage(ms);
@@ -646,6 +646,7 @@
                 }
             }
             case 16 -> cutFromStateAndPeers(node, ms);
+            case 17, 18, 19 -> meeting();
             default -> {
                 world.lateShare = 0.03;
                 world.at(ms, () -> world.lateShare = 0);
