--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -143,9 +143,12 @@
         });
     }
 
-    /** A launch has kept a cancellation waiting for so long that a new baton has to end it: workers refuse what was sent under the older one. */
+    /**
+     * A launch has kept a cancellation waiting for so long, on a machine whose lease is still renewed, that a new baton has to end it: workers refuse what was
+     * sent under the older one.
+     */
     boolean fenceDue(long now) {
-        return cancelling.values().stream().anyMatch(c -> now - c.since > Constants.FENCE_MS && scheduler.ledger.launchUnderWay(c.job));
+        return cancelling.values().stream().anyMatch(c -> now - c.since > Constants.FENCE_MS && scheduler.ledger.launchUnderWay(c.job, now - Constants.FENCE_MS));
     }
 
     /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
--- a/src/test/java/org/hollypick/sim/MeetingsTest.java
+++ b/src/test/java/org/hollypick/sim/MeetingsTest.java
@@ -119,6 +119,7 @@
     @Test
     void aLaunchThatIsHeldUpKeepsTheCancellationFromBeingTold() {
         int waited = 0;
+        int fenced = 0;
         for (int seed = 1; seed <= 12; seed++) {
             for (long ms : new long[] {9_000, 13_000, 25_000, 50_000}) {
                 Day day = new Day(seed);
@@ -145,11 +146,14 @@
                     day.world.at(2_000, () -> day.crash(day.leader(), 200));
                 }
                 long from = day.world.now;
+                long baton = day.state.stamp("h/roster");
                 while (!day.checker.isOver("req-000000")) {
                     day.play(10);
                     assertTrue(day.world.now - from < 120_000, "seed " + seed + ": never told");
                 }
                 waited += day.world.now - from > 5_000 ? 1 : 0;
+                fenced += day.state.stamp("h/roster") != baton && seed % 4 <= 1 ? 1 : 0;
+                assertTrue(!hangs || seed % 4 > 1 || day.state.stamp("h/roster") == baton, "the lease of one that hangs ends by itself");
                 int starts = day.checker.starts;
                 day.play(100_000);
                 assertEquals(starts, day.checker.starts, "seed " + seed + ": started after its user was told");
@@ -158,6 +162,7 @@
             }
         }
         assertTrue(waited > 10, "only " + waited + " cancellations had to wait");
+        assertTrue(fenced > 0, "no launch called for a new baton");
     }
 
     /** Tasks of a small job end far apart, and the lead changes again and again in between: none runs a second time, and each job is done. */
