--- a/src/main/java/org/hollypick/Node.java
+++ b/src/main/java/org/hollypick/Node.java
@@ -125,19 +125,19 @@
         if (!view.loaded()) {
             return;
         }
-        long baton = membership.baton();
-        if (term != null && (term.baton != baton)) {
+        long token = membership.token();
+        if (term != null && (term.token != token)) {
             term.end();
             term = null;
             state.setOwner(false);
         }
-        if (term == null && baton != 0 && !types.isEmpty() && membership.valid()) {
-            if (baton >>> (63 - Constants.ATTEMPT_BITS) != 0) {
-                LOG.error("baton too large for attempt numbers baton={}", Long.toUnsignedString(baton));
+        if (term == null && token != 0 && !types.isEmpty() && membership.valid()) {
+            if (token >>> (63 - Constants.ATTEMPT_BITS) != 0) {
+                LOG.error("token too large for attempt numbers token={}", Long.toUnsignedString(token));
                 return;
             }
             state.setOwner(true);
-            term = new Term(baton, runtime, settings, operator, view, dependencies, state, cloud, workers, types, membership, maker);
+            term = new Term(token, runtime, settings, operator, view, dependencies, state, cloud, workers, types, membership, maker);
             term.start();
         }
         membership.claimIfFree();
@@ -199,7 +199,7 @@
         mesh.on("/keep", (body, answer) -> answer.accept(mayKeep(body)));
         mesh.on("/release", (body, answer) -> answer.accept(relay.release(body == null ? 0 : Codec.u64(body.path("member")))));
         mesh.on(RelayCodec.PATH, (body, answer) -> answer.accept(term != null && term.acting()
-                ? RelayCodec.take(body, term.baton, this::rightMs, this::hello).only(term::acting) : Answer.later("not the owner")));
+                ? RelayCodec.take(body, term.token, this::rightMs, this::hello).only(term::acting) : Answer.later("not the owner")));
         mesh.on(Ways.PATH, state.ways()::pass);
         mesh.on(Ways.WATCH_PATH, state.ways()::pass);
         mesh.on(PeerReach.PATH, (body, answer) -> PeerReach.answer(workers, body, membership.reachesState(), answer));
@@ -213,9 +213,9 @@
     }
 
     private Answer mayKeep(JsonNode body) {
-        boolean own = body != null && term != null && term.acting() && Codec.u64(body.path("baton")) == term.baton;
+        boolean own = body != null && term != null && term.acting() && Codec.u64(body.path("baton")) == term.token;
         return own ? term.keep(body.path("node").asText(), Codec.u64(body.path("epoch")), Codec.u64(body.path("echo")), body.path("kept").asBoolean())
-                : Answer.later("not the owner under that baton");
+                : Answer.later("not the owner under that token");
     }
 
     /** The user of the job was told, or may have been told, that it is cancelled; or will be soon. */
@@ -242,7 +242,7 @@
 
     /** For how long others may pass on what this owner answers: no longer than it may act itself. */
     private long rightMs() {
-        return Math.min(Constants.RELAY_RIGHT_MS, membership.entitledUntil(term.baton) - runtime.now());
+        return Math.min(Constants.RELAY_RIGHT_MS, membership.entitledUntil(term.token) - runtime.now());
     }
 
     /** The owner's answer to a machine's report that came through that controller. */
--- a/src/main/java/org/hollypick/cluster/Keeper.java
+++ b/src/main/java/org/hollypick/cluster/Keeper.java
@@ -39,7 +39,7 @@
     private final LongConsumer keptByOwner;
     private final long windowMs;
 
-    private long grantedBaton;
+    private long grantedToken;
     private long grantedUntil;
     /** When the owner last answered. */
     private long contactAt;
@@ -71,39 +71,39 @@
     }
 
     private void ask() {
-        long baton = membership.rosterStamp();
+        long token = membership.rosterStamp();
         String owner = settings.meshAddr(membership.leader());
         if (owner != null && view.loaded()) {
             long sent = runtime.now();
             long telling = kept;
-            ObjectNode body = Codec.object().put("node", settings.node()).put("baton", baton).put("epoch", view.epoch()).put("echo", echo)
+            ObjectNode body = Codec.object().put("node", settings.node()).put("baton", token).put("epoch", view.epoch()).put("echo", echo)
                     .put("kept", telling > told);
-            runtime.call(new Call(owner, "POST", "/keep", body, Constants.MESH_TIMEOUT_MS, true), r -> answered(r, baton, sent, telling));
+            runtime.call(new Call(owner, "POST", "/keep", body, Constants.MESH_TIMEOUT_MS, true), r -> answered(r, token, sent, telling));
         }
         runtime.after(Constants.KEEP_EVERY_MS, this::ask);
     }
 
-    private void answered(Reply r, long baton, long sent, long telling) {
-        if (!r.ok() || Codec.u64(r.body().path("baton")) != baton) {
+    private void answered(Reply r, long token, long sent, long telling) {
+        if (!r.ok() || Codec.u64(r.body().path("baton")) != token) {
             return;
         }
         contactAt = runtime.now();
         echo = Codec.u64(r.body().path("number"));
         told = Math.max(told, telling);
         if (r.body().path("granted").asBoolean()) {
-            grantedBaton = baton;
+            grantedToken = token;
             grantedUntil = sent + Membership.certainly(windowMs);
         }
     }
 
     /** Until when this node may keep leases under the roster that it knows; for an owner: since it was last entitled. */
     private long until() {
-        long own = membership.baton();
+        long own = membership.token();
         if (own != 0) {
             // An owner of a version that doesn't know of kept leases may follow: it would take them for ended ones.
             return othersCount.getAsBoolean() ? membership.entitledUntil(own) + Membership.certainly(windowMs) : Leases.NEVER;
         }
-        return grantedBaton == membership.rosterStamp() ? grantedUntil : Leases.NEVER;
+        return grantedToken == membership.rosterStamp() ? grantedUntil : Leases.NEVER;
     }
 
     private boolean mayKeep() {
@@ -112,23 +112,23 @@
 
     /** Whether reports are to be answered here: the owner and the state service are both out of reach, and the right is there. */
     public boolean keeping() {
-        boolean lost = membership.baton() != 0 || runtime.now() - contactAt > Constants.KEEP_LOST_MS;
+        boolean lost = membership.token() != 0 || runtime.now() - contactAt > Constants.KEEP_LOST_MS;
         boolean keeping = windowMs > 0 && lost && !membership.reachesState() && mayKeep();
         if (keeping != announced) {
             announced = keeping;
-            LOG.info("{} leases baton={}", keeping ? "keeping" : "no longer keeping", membership.rosterStamp());
+            LOG.info("{} leases token={}", keeping ? "keeping" : "no longer keeping", membership.rosterStamp());
         }
         return keeping;
     }
 
-    /** The answer to a worker that has nobody else; null if it has seen a newer baton, since it would have to drop the answer. */
+    /** The answer to a worker that has nobody else; null if it has seen a newer token, since it would have to drop the answer. */
     public Answer answer(Report report) {
-        long baton = membership.rosterStamp();
-        if (Long.compareUnsigned(report.baton(), baton) > 0) {
+        long token = membership.rosterStamp();
+        if (Long.compareUnsigned(report.token(), token) > 0) {
             return null;
         }
         kept++;
-        if (membership.baton() != 0) {
+        if (membership.token() != 0) {
             keptByOwner.accept(runtime.now());
         }
         List<Order> orders = new ArrayList<>();
@@ -138,12 +138,12 @@
                 orders.add(new Order(Order.Verb.STOP, t.task(), t.attempt(), 0));
             }
         }
-        return Answer.of(200, WorkerCodec.orders(baton, orders)).only(this::mayKeep);
+        return Answer.of(200, WorkerCodec.orders(token, orders)).only(this::mayKeep);
     }
 
     /** The owner's answer to another controller that asks. */
-    public static Answer told(long baton, long number, boolean granted) {
-        JsonNode body = Codec.object().put("baton", baton).put("number", number).put("granted", granted);
+    public static Answer told(long token, long number, boolean granted) {
+        JsonNode body = Codec.object().put("baton", token).put("number", number).put("granted", granted);
         return Answer.of(200, body);
     }
 }
--- a/src/main/java/org/hollypick/cluster/Keys.java
+++ b/src/main/java/org/hollypick/cluster/Keys.java
@@ -33,8 +33,8 @@
     }
 
     /** A key that is used once: no other record of machines ever has it. */
-    public static String machines(String node, long baton, long count) {
-        return MACHINES + node + "/" + Long.toUnsignedString(baton) + "/" + count;
+    public static String machines(String node, long token, long count) {
+        return MACHINES + node + "/" + Long.toUnsignedString(token) + "/" + count;
     }
 
     /** A key that is used once: what one job awaits, as far as its own record has no room for it. */
@@ -52,8 +52,8 @@
     }
 
     /** A key that is used once. */
-    public static String graphLog(String id, long baton, long count) {
-        return graphLog(id) + Long.toUnsignedString(baton) + "/" + count;
+    public static String graphLog(String id, long token, long count) {
+        return graphLog(id) + Long.toUnsignedString(token) + "/" + count;
     }
 
     public static long graphLogNumber(String key) {
--- a/src/main/java/org/hollypick/cluster/Membership.java
+++ b/src/main/java/org/hollypick/cluster/Membership.java
@@ -19,7 +19,7 @@
 
 /**
  * This node's hold, its member key and the claim to lead. The roster names the leader and the stamp of its member key:
- * while that key stands, nobody else can claim. The roster's own stamp is the baton.
+ * while that key stands, nobody else can claim. The roster's own stamp is the token.
  */
 public final class Membership {
     private static final String LIMITS = "limits";
@@ -40,9 +40,9 @@
     /** The stamp of this incarnation's member key; 0 while there is none. */
     private long memberStamp;
     private long renewedAt;
-    /** Until when, and for which baton, all other controllers have promised not to claim. */
+    /** Until when, and for which token, all other controllers have promised not to claim. */
     private long promisedUntil;
-    private long promisedBaton;
+    private long promisedToken;
     /** Until when this node has promised not to claim. */
     private long silentUntil;
     private long aloneUntil;
@@ -234,11 +234,11 @@
      */
     private void askOthers() {
         if (!settings.siblings().isEmpty() && runtime.now() - renewedAt > Constants.PROMISE_AFTER_MS) {
-            long baton = baton();
+            long token = token();
             long sent = runtime.now();
             int[] missing = {settings.siblings().size()};
             for (Settings.Sibling s : settings.siblings()) {
-                runtime.call(new Call(s.addr(), "POST", "/promise", Codec.object().put("baton", baton), Constants.MESH_TIMEOUT_MS, true), r -> {
+                runtime.call(new Call(s.addr(), "POST", "/promise", Codec.object().put("baton", token), Constants.MESH_TIMEOUT_MS, true), r -> {
                     if (r.ok()) {
                         peerAt = runtime.now();
                         learn(r.body().path("roster"));
@@ -246,8 +246,8 @@
                     if (r.ok() && r.body().path("reaches_state").asBoolean()) {
                         aloneUntil = runtime.now() + Constants.ALONE_MS;
                     }
-                    if (r.ok() && r.body().path("promised").asBoolean() && --missing[0] == 0 && baton == baton()) {
-                        promisedBaton = baton;
+                    if (r.ok() && r.body().path("promised").asBoolean() && --missing[0] == 0 && token == token()) {
+                        promisedToken = token;
                         promisedUntil = sent + certainly(Constants.PROMISE_MS);
                     }
                 });
@@ -272,8 +272,8 @@
      * Another controller asks this one not to claim. Granted only while this node's view shows the asker's member key in place:
      * then this node can't have a claim under way against that roster.
      */
-    private boolean promise(long baton) {
-        if (!view.loaded() || baton == 0 || rosterStamp() != baton || free()) {
+    private boolean promise(long token) {
+        if (!view.loaded() || token == 0 || rosterStamp() != token || free()) {
             return false;
         }
         if (reachesState()) {
@@ -288,15 +288,15 @@
         return runtime.now() < silentUntil && !settings.node().equals(leader()) && leader() != null;
     }
 
-    /** Whether this node may act as leader under this baton right now. */
-    public boolean entitled(long baton) {
-        boolean entitled = valid() || held && promisedBaton == baton && runtime.now() < promisedUntil;
-        return entitled && baton != 0 && baton == baton();
+    /** Whether this node may act as leader under this token right now. */
+    public boolean entitled(long token) {
+        boolean entitled = valid() || held && promisedToken == token && runtime.now() < promisedUntil;
+        return entitled && token != 0 && token == token();
     }
 
-    /** By what this node may act, and renew leases, under this baton right now, for the log. */
-    public String right(long baton) {
-        return !entitled(baton) ? "none" : valid() ? "hold" : "promises";
+    /** By what this node may act, and renew leases, under this token right now, for the log. */
+    public String right(long token) {
+        return !entitled(token) ? "none" : valid() ? "hold" : "promises";
     }
 
     /** The hold that this node's keys are attached to; null while there is none that is certainly valid. */
@@ -304,13 +304,13 @@
         return valid() ? tenancy : null;
     }
 
-    /** Until when this node may, or might, act as leader under this baton. */
-    public long entitledUntil(long baton) {
-        return Math.max(held ? holdUntil : Leases.NEVER, promisedBaton == baton ? promisedUntil : Leases.NEVER);
+    /** Until when this node may, or might, act as leader under this token. */
+    public long entitledUntil(long token) {
+        return Math.max(held ? holdUntil : Leases.NEVER, promisedToken == token ? promisedUntil : Leases.NEVER);
     }
 
     /** The roster's stamp if the roster names this very incarnation, else 0. */
-    public long baton() {
+    public long token() {
         View.Entry roster = view.get(Keys.ROSTER);
         return roster != null && memberStamp != 0 && roster.data().path("leader").asText().equals(settings.node())
                 && Codec.u64(roster.data().path("member")) == memberStamp ? roster.stamp() : 0;
@@ -338,8 +338,8 @@
         return !free();
     }
 
-    /** Who leads by a roster: the node, the stamp of its member key, and the baton. */
-    public record Owner(String node, long member, long baton) {}
+    /** Who leads by a roster: the node, the stamp of its member key, and the token. */
+    public record Owner(String node, long member, long token) {}
 
     /** Who leads, as far as this node knows: by its view, or by the word of another that knows a newer roster while this one's view stands still. Null if nobody does. */
     public Owner owner() {
@@ -351,22 +351,22 @@
 
     /** Another controller told of a newer roster than this node's view shows. Reports go there; everything else waits for the view. */
     public boolean toldNewer() {
-        return told != null && Long.compareUnsigned(told.baton, rosterStamp()) > 0;
+        return told != null && Long.compareUnsigned(told.token, rosterStamp()) > 0;
     }
 
     private void learn(JsonNode roster) {
-        long baton = Codec.u64(roster.path("baton"));
-        if (baton != 0 && (told == null || Long.compareUnsigned(baton, told.baton) > 0)) {
-            told = new Owner(roster.path("leader").asText(), Codec.u64(roster.path("member")), baton);
+        long token = Codec.u64(roster.path("baton"));
+        if (token != 0 && (told == null || Long.compareUnsigned(token, told.token) > 0)) {
+            told = new Owner(roster.path("leader").asText(), Codec.u64(roster.path("member")), token);
         }
     }
 
     /** This node's answer to another that asks for a promise; it asks since it has no way to the state service, so it is told of the roster. */
-    public ObjectNode promised(long baton) {
-        ObjectNode answer = Codec.object().put("promised", promise(baton)).put("reaches_state", reachesState());
+    public ObjectNode promised(long token) {
+        ObjectNode answer = Codec.object().put("promised", promise(token)).put("reaches_state", reachesState());
         Owner owner = owner();
         if (owner != null) {
-            answer.putObject("roster").put("leader", owner.node).put("member", owner.member).put("baton", owner.baton);
+            answer.putObject("roster").put("leader", owner.node).put("member", owner.member).put("baton", owner.token);
         }
         return answer;
     }
@@ -459,20 +459,20 @@
         return roster == null || roster.data().path(LIMITS).asText().equals(limits);
     }
 
-    /** Writes the roster again, as it is: its new stamp is a new baton, under which no older order is executed any more. */
-    public void fence(long baton) {
-        fence(baton, limitsKept());
+    /** Writes the roster again, as it is: its new stamp is a new token, under which no older order is executed any more. */
+    public void fence(long token) {
+        fence(token, limitsKept());
     }
 
     /** The same, and tells that from now on the limits are kept that this owner keeps, whatever was before. */
-    public void limitsKeptFromNow(long baton) {
-        fence(baton, true);
+    public void limitsKeptFromNow(long token) {
+        fence(token, true);
     }
 
-    private void fence(long baton, boolean limitsKept) {
-        if (!claiming && valid() && entitled(baton)) {
+    private void fence(long token, boolean limitsKept) {
+        if (!claiming && valid() && entitled(token)) {
             claiming = true;
-            write(new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.member(settings.node()), memberStamp), limitsKept, "a fence");
+            write(new StateClient.Txn().when(Keys.ROSTER, token).when(Keys.member(settings.node()), memberStamp), limitsKept, "a fence");
         }
     }
 
--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -38,10 +38,10 @@
     public static final long CLAIM_STEP_MS = 150;
     /** Milliseconds for which a controller that gave up its lead leaves it to others: they claim within a second. */
     public static final long RESIGNED_MS = 6_000;
-    /** Bits of an attempt number that count within one baton; the rest is the baton, so attempts never repeat. */
+    /** Bits of an attempt number that count within one token; the rest is the token, so attempts never repeat. */
     public static final int ATTEMPT_BITS = 20;
 
-    /** Milliseconds for which a cancellation waits for a launch still under way before a new baton ends that, if the machine's lease was renewed in these: most are heard of, or their machine is gone, by then. */
+    /** Milliseconds for which a cancellation waits for a launch still under way before a new token ends that, if the machine's lease was renewed in these: most are heard of, or their machine is gone, by then. */
     public static final long FENCE_MS = 15_000;
     /** Milliseconds that a user waits for a cancellation before being told to ask again: less than the 2 s for which another controller waits for this answer. */
     public static final long CANCEL_PATIENCE_MS = 1_800;
@@ -339,7 +339,7 @@
     /** Slow answers from which on they may be this node's own doing, and the share of all answers that they must be: slow machines are few. */
     public static final int SLOW_CALLS = 3;
     public static final double SLOW_SHARE = 0.25;
-    /** Milliseconds within which a machine that saw a new baton in an answer has reported again: it waits half a second at most, and the way back. */
+    /** Milliseconds within which a machine that saw a new token in an answer has reported again: it waits half a second at most, and the way back. */
     public static final long REPORTS_AGAIN_MS = 1_000;
     /** Direct calls under way that are always allowed. */
     public static final int DIRECT_LEAST = 8;
--- a/src/main/java/org/hollypick/control/Cascade.java
+++ b/src/main/java/org/hollypick/control/Cascade.java
@@ -25,18 +25,18 @@
     private final View view;
     private final StateClient state;
     private final Settings settings;
-    private final long baton;
+    private final long token;
     /** Jobs whose records aren't written yet, and the stamps that they have now. */
     private final Map<String, Long> waiting = new LinkedHashMap<>();
     private boolean writing;
     private long notBefore;
 
-    Cascade(Runtime runtime, View view, StateClient state, Settings settings, long baton) {
+    Cascade(Runtime runtime, View view, StateClient state, Settings settings, long token) {
         this.runtime = runtime;
         this.view = view;
         this.state = state;
         this.settings = settings;
-        this.baton = baton;
+        this.token = token;
     }
 
     void add(String id, long stamp) {
@@ -51,7 +51,7 @@
         if (writing || waiting.isEmpty() || runtime.now() < notBefore || !state.spare()) {
             return;
         }
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton);
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, token);
         List<String> ending = new ArrayList<>();
         for (Map.Entry<String, Long> e : waiting.entrySet()) {
             if (ending.size() == settings.txnOps()) {
@@ -63,7 +63,7 @@
         writing = true;
         state.commit(txn, r -> {
             writing = false;
-            LOG.info("cancelled with what they need jobs={} status={} baton={}", ending, r.status(), baton);
+            LOG.info("cancelled with what they need jobs={} status={} token={}", ending, r.status(), token);
             if (r.ok()) {
                 waiting.keySet().removeAll(ending);
             } else {
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -27,7 +27,7 @@
 public final class Ends {
     private static final Logger LOG = LoggerFactory.getLogger(Ends.class);
 
-    private final long baton;
+    private final long token;
     private final Runtime runtime;
     private final Scheduler scheduler;
     private final Dependencies dependencies;
@@ -65,7 +65,7 @@
 
     Ends(Runtime runtime, Scheduler scheduler, Dependencies dependencies, StateClient state, Runnable changed,
             BiFunction<Job, String, ObjectNode> record, Consumer<String> ended) {
-        this.baton = scheduler.baton;
+        this.token = scheduler.token;
         this.runtime = runtime;
         this.scheduler = scheduler;
         this.dependencies = dependencies;
@@ -101,7 +101,7 @@
      */
     public void cancel(Job job, Consumer<Boolean> told) {
         Cancellation c = cancelling.computeIfAbsent(job.spec.id(), id -> {
-            LOG.info("cancelling job={} baton={} launch_may_come={}", id, baton, scheduler.launchMayCome(job));
+            LOG.info("cancelling job={} token={} launch_may_come={}", id, token, scheduler.launchMayCome(job));
             return new Cancellation(job, runtime.now());
         });
         c.waiting.add(told);
@@ -134,7 +134,7 @@
         c.writtenAt = runtime.now();
         commit(c.job, Records.ABORTED, r -> {
             c.writing = false;
-            LOG.info("abort job={} status={} baton={}", c.job.spec.id(), r.status(), baton);
+            LOG.info("abort job={} status={} token={}", c.job.spec.id(), r.status(), token);
             if (r.ok()) {
                 cancelledAt(Codec.u64(r.body().path("epoch")));
                 over(c.job, Records.ABORTED);
@@ -144,7 +144,7 @@
     }
 
     /**
-     * A launch has kept a cancellation waiting for so long, on a machine whose lease is still renewed, that a new baton has to end it: workers refuse what was
+     * A launch has kept a cancellation waiting for so long, on a machine whose lease is still renewed, that a new token has to end it: workers refuse what was
      * sent under the older one.
      */
     boolean fenceDue(long now) {
@@ -158,7 +158,7 @@
         if (status.equals(Records.ABORTED)) {
             abortsInDoubt.add(id);
         }
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), job.order)
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, token).when(Keys.job(id), job.order)
                 .put(Keys.job(id), record.apply(job, status));
         state.commit(txn, r -> {
             if (r.status() != Reply.NO_ANSWER && --job.endsInDoubt == 0) {
@@ -205,7 +205,7 @@
             commit(job, status, r -> {
                 job.closing = false;
                 if (r.ok()) {
-                    LOG.info("job {} job={} baton={}", status, job.spec.id(), baton);
+                    LOG.info("job {} job={} token={}", status, job.spec.id(), token);
                     over(job, status);
                 } else if (job.status == Job.Status.LIVE) {
                     scheduler.progressDirty.add(job);
--- a/src/main/java/org/hollypick/control/GraphLog.java
+++ b/src/main/java/org/hollypick/control/GraphLog.java
@@ -18,7 +18,7 @@
 
 /**
  * One graph's log: entries in their order, as many to a record and records to a transaction as fit, one transaction at a time. Each is conditional on the
- * baton and on the graph's own record, under keys that were never used; while its outcome isn't known the very same one is sent again.
+ * token and on the graph's own record, under keys that were never used; while its outcome isn't known the very same one is sent again.
  */
 final class GraphLog {
     private static final Logger LOG = LoggerFactory.getLogger(GraphLog.class);
@@ -27,7 +27,7 @@
     private final Settings settings;
     private final StateClient state;
     private final String id;
-    private final long baton;
+    private final long token;
     private final LongSupplier numbers;
     private final int room;
     private final ArrayDeque<Entry> unwritten = new ArrayDeque<>();
@@ -38,12 +38,12 @@
     private record Entry(ObjectNode op, int bytes, Runnable durable) {}
 
     /** {@code numbers}: each number once in this term. */
-    GraphLog(Runtime runtime, Settings settings, StateClient state, String id, long baton, LongSupplier numbers) {
+    GraphLog(Runtime runtime, Settings settings, StateClient state, String id, long token, LongSupplier numbers) {
         this.runtime = runtime;
         this.settings = settings;
         this.state = state;
         this.id = id;
-        this.baton = baton;
+        this.token = token;
         this.numbers = numbers;
         this.room = Records.room(settings);
     }
@@ -105,9 +105,9 @@
             taken.forEach(e -> unwritten.poll().durable.run());
             return;
         }
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton).when(Keys.job(id), order);
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, token).when(Keys.job(id), order);
         for (List<ObjectNode> ops : records) {
-            String key = Keys.graphLog(id, baton, numbers.getAsLong());
+            String key = Keys.graphLog(id, token, numbers.getAsLong());
             txn.when(key, 0).put(key, GraphRecords.record(id, ops));
         }
         writing = true;
--- a/src/main/java/org/hollypick/control/Graphs.java
+++ b/src/main/java/org/hollypick/control/Graphs.java
@@ -73,7 +73,7 @@
             this.id = id;
             this.head = head;
             this.graph = maker.make(head.retries(), this::released);
-            this.log = new GraphLog(runtime, settings, state, id, scheduler.baton, () -> written++);
+            this.log = new GraphLog(runtime, settings, state, id, scheduler.token, () -> written++);
         }
 
         private void released(int node) {
@@ -189,7 +189,7 @@
         try {
             Live g = replay(id, GraphRecords.head(record));
             graphs.put(id, g);
-            LOG.info("graph graph={} nodes={} sealed={} baton={}", id, g.graph.count(), g.graph.sealed(), scheduler.baton);
+            LOG.info("graph graph={} nodes={} sealed={} token={}", id, g.graph.count(), g.graph.sealed(), scheduler.token);
             g.started(scheduler.addJob(g.head.base(), g.graph, stamp, Codec.u64(record.path("under"))));
         } catch (JobCodec.Invalid e) {
             LOG.error("graph can't be read graph={} reason={}", id, e.getMessage());
@@ -278,8 +278,8 @@
             return;
         }
         graphs.put(id, made);
-        ObjectNode record = GraphRecords.live(head, scheduler.baton);
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.job(id), 0).when(Keys.ROSTER, scheduler.baton).put(Keys.job(id), record);
+        ObjectNode record = GraphRecords.live(head, scheduler.token);
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.job(id), 0).when(Keys.ROSTER, scheduler.token).put(Keys.job(id), record);
         state.commit(txn, r -> {
             if (!r.ok()) {
                 // It may be there, or come: then the view shows it, and a repeated call finds it.
@@ -291,8 +291,8 @@
                 answer.accept(Outcome.refused(503, "state service"));
                 return;
             }
-            LOG.info("graph graph={} baton={}", id, scheduler.baton);
-            made.started(scheduler.addJob(head.base(), made.graph, Codec.u64(r.body().path("epoch")), scheduler.baton));
+            LOG.info("graph graph={} token={}", id, scheduler.token);
+            made.started(scheduler.addJob(head.base(), made.graph, Codec.u64(r.body().path("epoch")), scheduler.token));
             part(made, nodes, last, answer);
         });
     }
@@ -487,7 +487,7 @@
             }
             if (!g.graph.sealed() && !g.sealing && now - g.since > Constants.GRAPH_SEAL_MS) {
                 g.sealing = true; // nothing is added to it any more
-                LOG.info("graph not sealed in time graph={} baton={}", g.id, scheduler.baton);
+                LOG.info("graph not sealed in time graph={} token={}", g.id, scheduler.token);
                 ends.cancel(g.job, durable -> { });
             }
             if (g.job.finished() && g.log.isEmpty()) {
@@ -511,7 +511,7 @@
                     endedAt.remove(ended.getKey());
                     return;
                 }
-                StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, scheduler.baton);
+                StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, scheduler.token);
                 keys.subList(Math.max(0, keys.size() - settings.txnOps()), keys.size()).forEach(txn::drop);
                 dropping = true;
                 state.commit(txn, r -> runtime.after(Constants.RENEW_RETRY_MS, () -> dropping = false));
--- a/src/main/java/org/hollypick/control/Learned.java
+++ b/src/main/java/org/hollypick/control/Learned.java
@@ -35,7 +35,7 @@
     private final View view;
     private final StateClient state;
     private final Settings settings;
-    private final long baton;
+    private final long token;
     private final Estimates estimates;
     /** By record: its kinds, the one that learned last at the end, and whether one learned since the last write. */
     private final List<LinkedHashMap<String, Boolean>> slots = new ArrayList<>();
@@ -47,7 +47,7 @@
         this.view = view;
         this.state = state;
         this.settings = settings;
-        this.baton = scheduler.baton;
+        this.token = scheduler.token;
         this.estimates = scheduler.estimates;
         for (int i = 0; i < Constants.LEARNED_SLOTS; i++) {
             slots.add(new LinkedHashMap<>());
@@ -134,7 +134,7 @@
         list.forEach(out::add);
         Map<String, Boolean> written = new LinkedHashMap<>(kinds);
         kinds.replaceAll((k, dirty) -> false);
-        state.commit(new StateClient.Txn().when(Keys.ROSTER, baton).when(key, stamp).put(key, record), r -> {
+        state.commit(new StateClient.Txn().when(Keys.ROSTER, token).when(key, stamp).put(key, record), r -> {
             if (!r.ok()) {
                 written.forEach((k, dirty) -> kinds.merge(k, dirty, Boolean::logicalOr));
             }
--- a/src/main/java/org/hollypick/control/Registry.java
+++ b/src/main/java/org/hollypick/control/Registry.java
@@ -39,7 +39,7 @@
     private final View view;
     private final StateClient state;
     private final Settings settings;
-    private final long baton;
+    private final long token;
     private final Predicate<String> gone;
     /** The records that name a machine. */
     private final Map<String, Set<String>> keysOf = new HashMap<>();
@@ -51,12 +51,12 @@
     private boolean writing;
     private long notBefore;
 
-    Registry(Runtime runtime, View view, StateClient state, Settings settings, long baton, Predicate<String> gone) {
+    Registry(Runtime runtime, View view, StateClient state, Settings settings, long token, Predicate<String> gone) {
         this.runtime = runtime;
         this.view = view;
         this.state = state;
         this.settings = settings;
-        this.baton = baton;
+        this.token = token;
         this.gone = gone;
     }
 
@@ -119,7 +119,7 @@
         if (writing || wanted.isEmpty() && copies.isEmpty() && unwanted.isEmpty() || runtime.now() < notBefore) {
             return;
         }
-        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, baton);
+        StateClient.Txn txn = new StateClient.Txn().when(Keys.ROSTER, token);
         Map<String, JsonNode> adding = new LinkedHashMap<>();
         wanted.forEach((id, m) -> adding.put(id, Records.machine(m)));
         copies.forEach(adding::putIfAbsent);
@@ -166,7 +166,7 @@
                     break;
                 }
                 record = Codec.object();
-                key = Keys.machines(settings.node(), baton, written++);
+                key = Keys.machines(settings.node(), token, written++);
                 txn.when(key, 0).put(key, record);
                 left = Records.room(settings) - 2;
             }
--- a/src/main/java/org/hollypick/control/Rentals.java
+++ b/src/main/java/org/hollypick/control/Rentals.java
@@ -103,7 +103,7 @@
         if (hiring == 0) { // else machines may be on their way already
             for (Fleet.Rent rent : plan.rents()) {
                 hiring++;
-                hire(rent.kind(), settings.node() + "-" + scheduler.baton + "-" + hires++, rent.count());
+                hire(rent.kind(), settings.node() + "-" + scheduler.token + "-" + hires++, rent.count());
             }
         }
         giveBack(plan.returns(), "idle");
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -38,13 +38,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One term of ownership, under one baton: the loops that bring machines, tasks, rentals and the jobs' durable records to
+ * One term of ownership, under one token: the loops that bring machines, tasks, rentals and the jobs' durable records to
  * what the scheduler wants. It does nothing outside itself unless {@code entitled} says that this node's hold is valid.
  */
 public final class Term {
     private static final Logger LOG = LoggerFactory.getLogger(Term.class);
 
-    public final long baton;
+    public final long token;
     public final Scheduler scheduler;
     private final Runtime runtime;
     private final Settings settings;
@@ -79,9 +79,9 @@
     private long nextSizes;
     private long nextSummary;
 
-    public Term(long baton, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
+    public Term(long token, Runtime runtime, Settings settings, OperatorSettings operator, View view, Dependencies dependencies, StateClient state,
             CloudClient cloud, WorkerClient client, Map<String, MachineType> types, Membership membership, Graphs.Maker maker) {
-        this.baton = baton;
+        this.token = token;
         this.runtime = runtime;
         this.settings = settings;
         this.view = view;
@@ -92,16 +92,16 @@
         this.lastTick = runtime.now() - Constants.TICK_MS;
         boolean nobodyBefore = membership.terms() == 1;
         this.own = new OwnTrouble(runtime.now());
-        this.scheduler = new Scheduler(baton, settings, operator.firstShare(),
+        this.scheduler = new Scheduler(token, settings, operator.firstShare(),
                 new Leases(settings, settings.siblings().stream().map(Settings.Sibling::node).toList(), runtime.now(), nobodyBefore), operator.estimates());
         if (membership.limitsKept()) {
             scheduler.olderKeptLimits();
         }
         this.workers = new Workers(runtime, settings, scheduler, client, types, this::acting, own, this::pump);
         this.rentals = new Rentals(runtime, settings, operator, scheduler, cloud, types, this::acting, membership::reachesState, this::pump, nobodyBefore);
-        this.registry = new Registry(runtime, view, state, settings, baton, scheduler.gone::contains);
+        this.registry = new Registry(runtime, view, state, settings, token, scheduler.gone::contains);
         this.progress = new Progress(runtime, view, state, settings, scheduler);
-        this.cascade = new Cascade(runtime, view, state, settings, baton);
+        this.cascade = new Cascade(runtime, view, state, settings, token);
         this.sizes = new Sizes(view, settings, state, scheduler);
         this.summary = new Summary(scheduler, rentals);
         this.ends = new Ends(runtime, scheduler, dependencies, state, this::followDependencies, this::endOf, this::ended);
@@ -133,12 +133,12 @@
                 scheduler.progressDirty.add(job);
             }
         }
-        LOG.info("term starts baton={} jobs={} machines={}", baton, scheduler.jobs.size(), scheduler.machines.size());
+        LOG.info("term starts token={} jobs={} machines={}", token, scheduler.jobs.size(), scheduler.machines.size());
         loop();
     }
 
     public void end() {
-        LOG.info("term ends baton={}", baton);
+        LOG.info("term ends token={}", token);
         ended = true;
     }
 
@@ -159,7 +159,7 @@
 
     /** Whether this node may act for this term now. */
     public boolean acting() {
-        return !ended && membership.entitled(baton);
+        return !ended && membership.entitled(token);
     }
 
     /** Another controller asks whether it may keep leases when it is cut off; its view holds every change up to {@code epoch}. */
@@ -168,7 +168,7 @@
         Leases leases = scheduler.leases;
         leases.asked(node, echo, kept, now);
         boolean granted = leases.allAsked() && ends.allCancelledKnown(epoch);
-        return Keeper.told(baton, leases.answer(node, granted, now), granted).only(this::acting);
+        return Keeper.told(token, leases.answer(node, granted, now), granted).only(this::acting);
     }
 
     // ---- records ----
@@ -177,7 +177,7 @@
     public void recordsChanged(Collection<String> keys) {
         long now = runtime.now();
         registry.changed(keys);
-        keys.stream().filter(k -> k.startsWith(Keys.PLEA) && view.get(k) != null).forEach(k -> workers.silence().pleaded(Plea.machines(view.get(k).data(), baton)));
+        keys.stream().filter(k -> k.startsWith(Keys.PLEA) && view.get(k) != null).forEach(k -> workers.silence().pleaded(Plea.machines(view.get(k).data(), token)));
         for (String key : keys) {
             if (!key.startsWith(Keys.JOB)) {
                 continue;
@@ -198,7 +198,7 @@
                 } else if (job == null) {
                     try {
                         JobSpec spec = JobCodec.read(e.data().path("spec"));
-                        LOG.info("job job={} class={} tasks={} baton={}", id, spec.jobClass(), spec.tasks(), baton);
+                        LOG.info("job job={} class={} tasks={} token={}", id, spec.jobClass(), spec.tasks(), token);
                         scheduler.addJob(spec, e.stamp(), Codec.u64(e.data().path("under")), dependencies.ready(id), dependencies.rank(id));
                     } catch (JobCodec.Invalid x) {
                         LOG.error("job record can't be read job={} field={}", id, x.getMessage());
@@ -280,9 +280,9 @@
                 nextFleet = now + Constants.FLEET_MS;
                 rentals.rentAndReturn(workers.silence().dark(), now);
                 if (ends.fenceDue(now) || scheduler.ledger.attemptsShort()) {
-                    membership.fence(baton);
+                    membership.fence(token);
                 } else if (settings.anyLimit() && !membership.limitsKept() && scheduler.limitsKept()) {
-                    membership.limitsKeptFromNow(baton); // once, after owners of an older version or with other limits
+                    membership.limitsKeptFromNow(token); // once, after owners of an older version or with other limits
                 }
             }
             if (now >= nextSummary) {
@@ -301,10 +301,10 @@
     }
 
     private void logRight(long now) {
-        String is = membership.right(baton);
+        String is = membership.right(token);
         if (!is.equals(right)) {
             right = is;
-            LOG.info("right to act and to renew leases by={} ms={} baton={}", right, membership.entitledUntil(baton) - now, baton);
+            LOG.info("right to act and to renew leases by={} ms={} token={}", right, membership.entitledUntil(token) - now, token);
         }
     }
 
@@ -321,7 +321,7 @@
             measuring = false;
             boolean unknown = workers.silence().nobodyTells(runtime.now()) && !m.reachesNearlyAll();
             if (acting() && (unknown || m.betterElsewhere())) {
-                LOG.info("cut off from the machines, resigning baton={} {} {}", baton, workers.silence().seen(), m);
+                LOG.info("cut off from the machines, resigning token={} {} {}", token, workers.silence().seen(), m);
                 membership.resign();
             }
         });
--- a/src/main/java/org/hollypick/control/Workers.java
+++ b/src/main/java/org/hollypick/control/Workers.java
@@ -61,7 +61,7 @@
     /** A worker's report, which came through that controller, while this node may act. */
     Answer hello(Report r, String via) {
         long now = runtime.now();
-        if (Long.compareUnsigned(r.baton(), scheduler.baton) > 0 || scheduler.gone.contains(r.machine())) {
+        if (Long.compareUnsigned(r.token(), scheduler.token) > 0 || scheduler.gone.contains(r.machine())) {
             return Answer.later("not for this node");
         }
         Machine m = scheduler.machines.get(r.machine());
@@ -74,20 +74,20 @@
             m = scheduler.addMachine(r.machine(), type, r.zone(), r.spot(), false, now);
         }
         if (Ledger.outdated(m, r)) {
-            return Answer.later("a report of an earlier tenure");
+            return Answer.later("a report of an earlier session");
         }
         Heed.Word word = m.heed.word(r, now);
         if (word == Heed.Word.COPY) {
             return Answer.later("an older report");
         }
         boolean was = m.up;
-        long before = m.tenure;
+        long before = m.session;
         boolean accepted = accept(m, r, true, now);
-        if (!accepted && (!m.up || r.tenure() != m.tenure)) {
-            return Answer.later("a report of an earlier tenure");
+        if (!accepted && (!m.up || r.session() != m.session)) {
+            return Answer.later("a report of an earlier session");
         }
         if (!was) {
-            LOG.info("machine up machine={} tenure={} tasks={}", m.id, r.tenure(), r.tasks().size());
+            LOG.info("machine up machine={} session={} tasks={}", m.id, r.session(), r.tasks().size());
             if (!m.proved) {
                 probe(m);
             }
@@ -97,7 +97,7 @@
             scheduler.fill(m, now);
         }
         List<Order> orders = limited(scheduler.ledger.orders(m));
-        if (word == Heed.Word.NEW && !heeds(m, r, was && r.tenure() != before, orders, now)) {
+        if (word == Heed.Word.NEW && !heeds(m, r, was && r.session() != before, orders, now)) {
             return Answer.later("answers don't reach the machine");
         }
         String elsewhere = orders.isEmpty() && m.heard ? scheduler.shares.elsewhere(via, now) : null;
@@ -112,25 +112,25 @@
             scheduler.ordersUrgent.remove(m);
         }
         pump.run();
-        return Answer.of(200, WorkerCodec.orders(scheduler.baton, orders)).only(acting);
+        return Answer.of(200, WorkerCodec.orders(scheduler.token, orders)).only(acting);
     }
 
     /** Draws what a new report shows of the answers before; false if the next one would only lengthen a lease that the machine itself lets run out. */
-    private boolean heeds(Machine m, Report r, boolean newTenure, List<Order> orders, long now) {
+    private boolean heeds(Machine m, Report r, boolean newSession, List<Order> orders, long now) {
         boolean deaf = m.heed.deaf();
-        boolean knows = r.baton() == scheduler.baton;
-        if (newTenure && m.answeredAt > 0 && scheduler.leases.fresh(m.answeredAt, now)) {
+        boolean knows = r.token() == scheduler.token;
+        if (newSession && m.answeredAt > 0 && scheduler.leases.fresh(m.answeredAt, now)) {
             m.heed.lapsed(now);
         }
         m.heed.reported(r, knows, orders, now);
-        if (m.heed.deaf() && !newTenure && scheduler.leases.over(m.tenureSince, now)) {
-            m.heed.heeded(); // without an answer taken its tenure would be over
+        if (m.heed.deaf() && !newSession && scheduler.leases.over(m.sessionSince, now)) {
+            m.heed.heeded(); // without an answer taken its session would be over
         }
         if (!knows) {
             m.answeredAt = 0; // it has taken no answer of this term
         }
         if (m.heed.deaf() != deaf) {
-            LOG.info("{} machine={} tenure={} baton={}", deaf ? "answers reach the machine again" : "answers don't reach the machine", m.id, r.tenure(), r.baton());
+            LOG.info("{} machine={} session={} token={}", deaf ? "answers reach the machine again" : "answers don't reach the machine", m.id, r.session(), r.token());
             scheduler.passWanted = true;
         }
         return !m.heed.deaf() || m.heard && m.idle();
@@ -178,13 +178,13 @@
             return; // a zone that is cut off may not take every call from those that answer
         }
         boolean known = m.up;
-        long tenure = known ? m.tenure : 1;
+        long session = known ? m.session : 1;
         long tick = m.tick;
         scheduler.ledger.sentDirect(m, orders);
         open++;
         long asked = runtime.now();
         openDoubtful += doubtful ? 1 : 0;
-        client.command(m.addr, scheduler.baton, tenure, orders, acting, r -> {
+        client.command(m.addr, scheduler.token, session, orders, acting, r -> {
             open--;
             openDoubtful -= doubtful ? 1 : 0;
             long now = runtime.now();
@@ -195,7 +195,7 @@
                 own.answered(now - asked, now);
                 pace.answered(now - asked, now);
             }
-            answered(m, orders, tenure, known ? tick : -1, r);
+            answered(m, orders, session, known ? tick : -1, r);
             contactUnheard();
             if (!scheduler.ordersUrgent.isEmpty() || !scheduler.ordersDirty.isEmpty() || !scheduler.freed.isEmpty()) {
                 pump.run();
@@ -204,9 +204,9 @@
     }
 
     /** {@code tick}: the newest count of the machine that was known when it was asked; -1 for none. */
-    private void answered(Machine m, List<Order> orders, long tenure, long tick, Reply r) {
+    private void answered(Machine m, List<Order> orders, long session, long tick, Reply r) {
         boolean settled = r.status() == 200 || r.status() == 409 || r.status() == 400 || r.neverSent();
-        scheduler.ledger.directEnded(m, orders, tenure, settled);
+        scheduler.ledger.directEnded(m, orders, session, settled);
         if (r.status() != 200 && r.status() != 409) {
             if (r.status() != Reply.LACK) {
                 m.unanswered++;
@@ -219,13 +219,13 @@
             return;
         }
         Report report = WorkerCodec.report(r.body());
-        if (report != null && scheduler.machines.get(m.id) == m && Long.compareUnsigned(report.baton(), scheduler.baton) <= 0) {
+        if (report != null && scheduler.machines.get(m.id) == m && Long.compareUnsigned(report.token(), scheduler.token) <= 0) {
             boolean again = !m.heard;
             m.heed.heeded();
             scheduler.ledger.proved(m);
             accept(m, report, false, runtime.now());
-            if (tick >= 0 && !report.newerThan(tenure, tick) && !m.lapsed()) {
-                LOG.info("worker has begun again machine={} tenure={} tick={} known={}/{}", m.id, report.tenure(), report.tick(), tenure, tick);
+            if (tick >= 0 && !report.newerThan(session, tick) && !m.lapsed()) {
+                LOG.info("worker has begun again machine={} session={} tick={} known={}/{}", m.id, report.session(), report.tick(), session, tick);
                 scheduler.ledger.begunAgain(m, report, runtime.now());
             }
             if (again && !m.heard) {
@@ -242,7 +242,7 @@
 
     /**
      * After a takeover nothing tells more quickly what is where than asking every registered machine, some at a time; but one that was just answered
-     * reports again by itself, since it saw a new baton.
+     * reports again by itself, since it saw a new token.
      */
     void contactUnheard() {
         if (scheduler.settled()) {
--- a/src/main/java/org/hollypick/core/Leases.java
+++ b/src/main/java/org/hollypick/core/Leases.java
@@ -10,7 +10,7 @@
 /**
  * When workers' leases have certainly ended, although other controllers may keep them alive while they reach neither the state service
  * nor the owner (docs/safety.md, "Kept leases"). Pure; one for each term. Every other controller asks again and again; the answer, if it grants
- * anything, lets it renew leases, under this baton, for a while counted from when it sent the question.
+ * anything, lets it renew leases, under this token, for a while counted from when it sent the question.
  */
 public final class Leases {
     /** Before any time that a clock tells, and far enough from the end of the numbers to be reckoned with. */
@@ -18,7 +18,7 @@
 
     /** What one other controller has told, and what it may do. Times are this owner's. */
     private static final class Keeper {
-        /** Under older batons it kept nothing after this. */
+        /** Under older tokens it kept nothing after this. */
         private long olderUntil;
         private boolean asked;
         /** The last answers to it, by number. */
@@ -69,7 +69,7 @@
         return (long) (ms * (1 + Constants.DRIFT)) + Constants.CLOCK_MARGIN_MS;
     }
 
-    /** Another controller asks under this term's baton. {@code echo}: the newest answer that it has seen; {@code kept}: it kept leases since it last told. */
+    /** Another controller asks under this term's token. {@code echo}: the newest answer that it has seen; {@code kept}: it kept leases since it last told. */
     public void asked(String node, long echo, boolean kept, long now) {
         Keeper k = keepers.get(node);
         if (k == null) {
@@ -77,7 +77,7 @@
         }
         if (!k.asked) {
             k.asked = true;
-            k.olderUntil = Math.min(k.olderUntil, now); // it knows this baton, so it keeps nothing under an older one
+            k.olderUntil = Math.min(k.olderUntil, now); // it knows this token, so it keeps nothing under an older one
         }
         if (kept) {
             k.kept = Math.max(k.kept, now);
@@ -114,7 +114,7 @@
         ownKept = Math.max(ownKept, now);
     }
 
-    /** Whether a lease renewed then still holds, even if the report that renewed it was sent a while before: a tenure that ends now wasn't renewed by it. */
+    /** Whether a lease renewed then still holds, even if the report that renewed it was sent a while before: a session that ends now wasn't renewed by it. */
     public boolean fresh(long renewed, long now) {
         return now - renewed < leaseMs - Constants.UNHEARD_GAP_MS;
     }
--- a/src/main/java/org/hollypick/core/Ledger.java
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -15,14 +15,14 @@
 /** The life of placements in one term: from the decision to start, through reports, to the certainty that nothing is there. */
 public final class Ledger {
     private final Scheduler scheduler;
-    private final long baton;
+    private final long token;
     private final TeamUse teamUse;
     private final Blame blame;
     private long attempts;
 
     Ledger(Scheduler scheduler, TeamUse teamUse) {
         this.scheduler = scheduler;
-        this.baton = scheduler.baton;
+        this.token = scheduler.token;
         this.teamUse = teamUse;
         this.blame = new Blame(scheduler.jobs, scheduler.machines);
     }
@@ -30,20 +30,20 @@
     // ---- reports ----
 
     /**
-     * Takes in a worker's report. False if it is older than what is known or from a tenure that is over: it says nothing.
+     * Takes in a worker's report. False if it is older than what is known or from a session that is over: it says nothing.
      * {@code hello}: it came as a report, which no earlier answer to a report can still follow.
      */
     public boolean report(Machine m, Report r, boolean hello, long now) {
         scheduler.lastNow = now;
-        if (m.up && !r.newerThan(m.tenure, m.tick) || outdated(m, r)) {
+        if (m.up && !r.newerThan(m.session, m.tick) || outdated(m, r)) {
             return false;
         }
-        m.seenBaton = r.baton();
-        if (m.up && r.tenure() != m.tenure) {
-            loseAll(m); // a new tenure: all that was there is gone, and late orders of the old one are refused
+        m.seenToken = r.token();
+        if (m.up && r.session() != m.session) {
+            loseAll(m); // a new session: all that was there is gone, and late orders of the old one are refused
         }
-        if (!m.up || r.tenure() != m.tenure) {
-            m.tenureSince = now;
+        if (!m.up || r.session() != m.session) {
+            m.sessionSince = now;
             m.lapsedAt = 0;
         }
         if (!m.up) {
@@ -53,7 +53,7 @@
                 scheduler.toRegister.add(m);
             }
         }
-        m.tenure = r.tenure();
+        m.session = r.session();
         m.tick = r.tick();
         if (!r.addr().isEmpty()) {
             m.addr = r.addr();
@@ -73,7 +73,7 @@
             if (p != null) {
                 m.listed(p);
                 update(p, t, now);
-                if (r.baton() == baton && p.there() && p.attempt >>> Constants.ATTEMPT_BITS != baton && !scheduler.settledBefore()) {
+                if (r.token() == token && p.there() && p.attempt >>> Constants.ATTEMPT_BITS != token && !scheduler.settledBefore()) {
                     teamUse.found(p.spec, p.attempt);
                 }
             } else if (t.state() != State.EXITED) {
@@ -87,8 +87,8 @@
                 remove(p);
             }
         }
-        // Only a report made under this baton is final: older direct orders are refused from then on.
-        if (r.baton() == baton && !(m.heard && m.proved)) {
+        // Only a report made under this token is final: older direct orders are refused from then on.
+        if (r.token() == token && !(m.heard && m.proved)) {
             m.heard = true;
             proved(m);
         }
@@ -100,12 +100,12 @@
     }
 
     /**
-     * Whether a report says nothing whatever its count: of a tenure that is over, or with larger counts and a lower baton than the machine has shown. A worker's
-     * baton never falls, so that was written in an earlier life.
+     * Whether a report says nothing whatever its count: of a session that is over, or with larger counts and a lower token than the machine has shown. A worker's
+     * token never falls, so that was written in an earlier life.
      */
     public static boolean outdated(Machine m, Report r) {
-        return Long.compareUnsigned(r.tenure(), m.minTenure) < 0 || m.lapsed() && Long.compareUnsigned(r.tenure(), m.tenure) <= 0
-                || m.up && r.newerThan(m.tenure, m.tick) && Long.compareUnsigned(r.baton(), m.seenBaton) < 0;
+        return Long.compareUnsigned(r.session(), m.minSession) < 0 || m.lapsed() && Long.compareUnsigned(r.session(), m.session) <= 0
+                || m.up && r.newerThan(m.session, m.tick) && Long.compareUnsigned(r.token(), m.seenToken) < 0;
     }
 
     /** It is there, and not only an old report of it. */
@@ -121,7 +121,7 @@
     public void begunAgain(Machine m, Report r, long now) {
         scheduler.lastNow = now;
         m.lapsedAt = now;
-        m.tenureSince = now;
+        m.sessionSince = now;
         m.beginReport();
         for (TaskReport t : r.tasks()) {
             Placement p = m.at(t.task(), t.attempt());
@@ -306,9 +306,9 @@
 
     public void start(Job job, int index, Machine m, long now) {
         if (attempts >= 1L << Constants.ATTEMPT_BITS) {
-            throw new IllegalStateException("out of attempt numbers under this baton");
+            throw new IllegalStateException("out of attempt numbers under this token");
         }
-        long attempt = (baton << Constants.ATTEMPT_BITS) + attempts++;
+        long attempt = (token << Constants.ATTEMPT_BITS) + attempts++;
         Placement p = new Placement(job, index, attempt, m, now);
         m.add(p);
         job.placed(p);
@@ -384,20 +384,20 @@
     }
 
     /** A direct call ended. {@code settled}: it was executed, refused or never sent; otherwise it may be executed late. */
-    public void directEnded(Machine m, List<Order> orders, long tenure, boolean settled) {
+    public void directEnded(Machine m, List<Order> orders, long session, boolean settled) {
         m.directBusy = false;
         for (Order o : orders) {
             Placement p = m.at(o.task(), o.attempt());
             if (o.verb() == Order.Verb.START && p != null) {
                 p.directInFlight = false;
-                if (!settled && m.tenure == tenure) {
+                if (!settled && m.session == session) {
                     p.directDoubt = true;
                 }
             }
         }
     }
 
-    /** Whether a launch of this job that went out directly may yet be carried out, at any time while the machine's tenure and token last. */
+    /** Whether a launch of this job that went out directly may yet be carried out, at any time while the machine's session and token last. */
     public boolean launchUnderWay(Job job) {
         return launchUnderWay(job, Long.MIN_VALUE);
     }
@@ -412,7 +412,7 @@
         return false;
     }
 
-    /** Attempt numbers are nearly used up: a new baton brings new ones. */
+    /** Attempt numbers are nearly used up: a new token brings new ones. */
     public boolean attemptsShort() {
         return attempts > (1L << Constants.ATTEMPT_BITS) - 10_000;
     }
--- a/src/main/java/org/hollypick/core/Planner.java
+++ b/src/main/java/org/hollypick/core/Planner.java
@@ -45,7 +45,7 @@
         secondJobs = new ArrayList<>();
         boolean settled = scheduler.settled();
         for (Job job : scheduler.jobs.values()) {
-            if (job.waits() && (settled || job.under == scheduler.baton)) {
+            if (job.waits() && (settled || job.under == scheduler.token)) {
                 (job.second() ? secondJobs : firstJobs).add(job);
             }
         }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -19,7 +19,7 @@
  * dirty sets for the loops around to carry out. docs/safety.md argues why its decisions keep the rules.
  */
 public final class Scheduler {
-    public final long baton;
+    public final long token;
     private final Settings settings;
     public final Leases leases;
     private final Planner planner;
@@ -58,14 +58,14 @@
     public boolean passWanted;
 
     /** {@code leases}: when a worker's lease is certainly over. */
-    public Scheduler(long baton, Settings settings, double firstShare, Leases leases) {
-        this(baton, settings, firstShare, leases, false);
+    public Scheduler(long token, Settings settings, double firstShare, Leases leases) {
+        this(token, settings, firstShare, leases, false);
     }
 
     /** {@code learns}: from the run times of tasks, for those who ask when something will be done. */
-    public Scheduler(long baton, Settings settings, double firstShare, Leases leases, boolean learns) {
+    public Scheduler(long token, Settings settings, double firstShare, Leases leases, boolean learns) {
         this.estimates = new Estimates(learns);
-        this.baton = baton;
+        this.token = token;
         this.settings = settings;
         this.shares = new Shares(settings.node(), leases.termStart());
         this.leases = leases;
@@ -222,10 +222,10 @@
         lastNow = now;
         for (Machine m : machines.values()) {
             passWanted |= Blame.pardon(m, now);
-            // What older owners launched needs a tenure that began before this term: all of those have ended, whatever has begun since.
+            // What older owners launched needs a session that began before this term: all of those have ended, whatever has begun since.
             boolean olderOver = !m.heard && leases.over(m.answeredAt, now);
             // A session can also be known from a direct answer alone: its lease began before that came, not earlier.
-            boolean over = (m.up && !m.lapsed() || !m.placements.isEmpty()) && leases.over(Math.max(m.answeredAt, m.tenureSince), now);
+            boolean over = (m.up && !m.lapsed() || !m.placements.isEmpty()) && leases.over(Math.max(m.answeredAt, m.sessionSince), now);
             if (olderOver || over) {
                 ledger.loseAll(m);
                 m.heard = true;
@@ -233,14 +233,14 @@
             }
             if (over && m.up) {
                 m.lapsedAt = now;
-                m.minTenure = m.tenure + 1;
+                m.minSession = m.session + 1;
             }
         }
     }
 
     /** Whether a launch of the job may yet be carried out that no report has shown: this owner's, or an older one's on a machine that isn't heard yet. */
     public boolean launchMayCome(Job job) {
-        return ledger.launchUnderWay(job) || job.under != baton && !allHeard();
+        return ledger.launchUnderWay(job) || job.under != token && !allHeard();
     }
 
     /** Once so, it stays so; asked for many jobs in one moment. */
--- a/src/main/java/org/hollypick/core/heed/Heed.java
+++ b/src/main/java/org/hollypick/core/heed/Heed.java
@@ -17,15 +17,15 @@
 
     /** The newest that came as a report. */
     private boolean reported;
-    private long tenure;
+    private long session;
     private long tick;
     private long takenAt;
     /** That one was answered, with these orders. */
     private boolean answered;
     private List<Order> told = List.of();
-    private long toldTenure;
-    /** It had seen this term's baton by then. */
-    private boolean knewBaton;
+    private long toldSession;
+    /** It had seen this term's token by then. */
+    private boolean knewToken;
     private int unheeded;
     private int unanswered;
     /** Since when it counts as deaf; 0: it doesn't. */
@@ -33,14 +33,14 @@
 
     /** What this report is, beside those that came before. */
     public Word word(Report r, long now) {
-        if (!reported || r.newerThan(tenure, tick)) {
+        if (!reported || r.newerThan(session, tick)) {
             reported = true;
-            tenure = r.tenure();
+            session = r.session();
             tick = r.tick();
             takenAt = now;
             return Word.NEW;
         }
-        boolean same = r.tenure() == tenure && r.tick() == tick;
+        boolean same = r.session() == session && r.tick() == tick;
         return same && now - takenAt < Constants.ANSWER_WAIT_MS ? Word.AGAIN : Word.COPY;
     }
 
@@ -49,18 +49,18 @@
         return takenAt;
     }
 
-    /** A new report: what it shows of the answer before. {@code wanted}: what it would be told now; {@code knows}: it has seen this term's baton. */
+    /** A new report: what it shows of the answer before. {@code wanted}: what it would be told now; {@code knows}: it has seen this term's token. */
     public void reported(Report r, boolean knows, List<Order> wanted, long now) {
         if (answered) {
             if (!knows || anyAgain(wanted)) {
                 if (++unheeded >= Constants.UNHEEDED) {
                     lapsed(now);
                 }
-            } else if (!knewBaton || r.tenure() == toldTenure && anyShown(r)) {
+            } else if (!knewToken || r.session() == toldSession && anyShown(r)) {
                 heeded();
             }
         }
-        knewBaton = knows;
+        knewToken = knows;
         answered = false;
         told = List.of();
     }
@@ -103,10 +103,10 @@
     public void told(List<Order> orders) {
         answered = true;
         told = orders;
-        toldTenure = tenure;
+        toldSession = session;
     }
 
-    /** None of the last answers was taken: so it has shown, or its tenure ended although it was answered lately. */
+    /** None of the last answers was taken: so it has shown, or its session ended although it was answered lately. */
     public void lapsed(long now) {
         deafSince = deafSince == 0 ? now : deafSince;
     }
--- a/src/main/java/org/hollypick/core/ledger/Machine.java
+++ b/src/main/java/org/hollypick/core/ledger/Machine.java
@@ -20,26 +20,26 @@
 
     /** Durably recorded; before that nothing may be launched here. */
     public boolean registered;
-    /** It has reported under the current baton, or nothing older can be on it. */
+    /** It has reported under the current token, or nothing older can be on it. */
     public boolean heard;
     /** It reported a task that isn't accounted for: of a job that is over, or a second attempt. It is told to end that. */
     public boolean strays;
     /** Its worker has reported at least once in this term. */
     public boolean up;
-    /** It has seen this term's baton, or answered a question: a report alone may be a late copy of a machine that is gone. */
+    /** It has seen this term's token, or answered a question: a report alone may be a late copy of a machine that is gone. */
     public boolean proved;
-    /** Since when the tenure that is known of is over; nothing may be told to it until the next one is heard of. 0: it isn't. */
+    /** Since when the session that is known of is over; nothing may be told to it until the next one is heard of. 0: it isn't. */
     public long lapsedAt;
     /** Whether what it is told reaches it. */
     public final Heed heed = new Heed();
-    public long tenure;
+    public long session;
     public long tick;
-    /** The highest baton that it has shown: larger counts beside a lower one are an earlier life's. */
-    public long seenBaton;
-    /** Reports of older tenures tell nothing any more. */
-    public long minTenure;
-    /** When this tenure was first heard of; it began before that. */
-    public long tenureSince;
+    /** The highest token that it has shown: larger counts beside a lower one are an earlier life's. */
+    public long seenToken;
+    /** Reports of older sessions tell nothing any more. */
+    public long minSession;
+    /** When this session was first heard of; it began before that. */
+    public long sessionSince;
     /** When the last report was answered with 200; its lease can't have been renewed later. */
     public long answeredAt;
     public long lastReportAt;
@@ -168,7 +168,7 @@
         return there == 0;
     }
 
-    /** It can't be given anything, and may never be again: deaf, or begun again under a tenure that is over. */
+    /** It can't be given anything, and may never be again: deaf, or begun again under a session that is over. */
     public boolean useless() {
         return heed.deaf() || lapsed();
     }
--- a/src/main/java/org/hollypick/core/ledger/Placement.java
+++ b/src/main/java/org/hollypick/core/ledger/Placement.java
@@ -20,7 +20,7 @@
     public double graceS;
     /** An exited attempt may be cleared once what it achieved is durable. */
     public boolean clearable;
-    /** A direct launch went out and its outcome is unknown: it may be executed late, while the tenure lasts. */
+    /** A direct launch went out and its outcome is unknown: it may be executed late, while the session lasts. */
     public boolean directDoubt;
     /** A direct launch is on its way right now. */
     public boolean directInFlight;
--- a/src/main/java/org/hollypick/relay/Plea.java
+++ b/src/main/java/org/hollypick/relay/Plea.java
@@ -28,7 +28,7 @@
     private final Settings settings;
     private final Membership membership;
     private final StateClient state;
-    /** Since when, and under which baton, reports haven't reached the owner; 0 if the last one did. */
+    /** Since when, and under which token, reports haven't reached the owner; 0 if the last one did. */
     private long since;
     private long failing;
     private long saidAt;
@@ -48,12 +48,12 @@
         since = 0;
     }
 
-    /** The owner under that baton couldn't be told of those machines. */
-    void failed(long baton, Collection<String> machines) {
+    /** The owner under that token couldn't be told of those machines. */
+    void failed(long token, Collection<String> machines) {
         long now = runtime.now();
-        if (since == 0 || failing != baton) {
+        if (since == 0 || failing != token) {
             since = now;
-            failing = baton;
+            failing = token;
             heard.clear();
         }
         machines.forEach(m -> heard.putAndMoveToLast(m, now));
@@ -65,17 +65,17 @@
             return;
         }
         saidAt = now;
-        ObjectNode data = Codec.object().put("baton", baton);
+        ObjectNode data = Codec.object().put("baton", token);
         ArrayNode names = data.putArray("machines");
         heard.keySet().forEach(names::add);
-        LOG.info("the owner isn't reached, telling it by the state service baton={} machines={}", baton, names.size());
-        state.commitNow(new StateClient.Txn().when(Keys.ROSTER, baton).putLeased(Keys.plea(settings.node()), data, tenancy), r -> { });
+        LOG.info("the owner isn't reached, telling it by the state service token={} machines={}", token, names.size());
+        state.commitNow(new StateClient.Txn().when(Keys.ROSTER, token).putLeased(Keys.plea(settings.node()), data, tenancy), r -> { });
     }
 
     /** The machines that such a record names, if it is meant for that owner. */
-    public static List<String> machines(JsonNode data, long baton) {
+    public static List<String> machines(JsonNode data, long token) {
         List<String> names = new ArrayList<>();
-        if (Codec.u64(data.path("baton")) == baton) {
+        if (Codec.u64(data.path("baton")) == token) {
             data.path("machines").forEach(m -> names.add(m.asText()));
         }
         return names;
--- a/src/main/java/org/hollypick/relay/Relay.java
+++ b/src/main/java/org/hollypick/relay/Relay.java
@@ -44,8 +44,8 @@
     private int failures;
     /** Member keys whose owner wants nothing of it passed on any more. */
     private final LongOpenHashSet released = new LongOpenHashSet();
-    /** Under this baton the owner is of a version that takes no bundles. */
-    private long refusedBaton;
+    /** Under this token the owner is of a version that takes no bundles. */
+    private long refusedToken;
 
     private record Held(byte[] report, long until, Consumer<Answer> answer) {}
 
@@ -65,7 +65,7 @@
         Answer now = here(report);
         if (now != null) {
             answer.accept(now);
-        } else if (report.length > Constants.RELAY_BYTES || refusedBaton != 0 && refusedBaton == baton()) {
+        } else if (report.length > Constants.RELAY_BYTES || refusedToken != 0 && refusedToken == token()) {
             answer.accept(toOwner());
         } else if (held.size() >= Constants.RELAY_HELD || heldBytes + report.length > Constants.RELAY_HELD_BYTES) {
             answer.accept(Answer.later("too many reports wait"));
@@ -130,13 +130,13 @@
         }
     }
 
-    private long baton() {
+    private long token() {
         Membership.Owner owner = membership.owner();
-        return owner == null ? 0 : owner.baton();
+        return owner == null ? 0 : owner.token();
     }
 
     private void send(String owner, Membership.Owner leads, long now) {
-        long baton = leads.baton();
+        long token = leads.token();
         List<Held> bundle = new ArrayList<>();
         List<byte[]> reports = new ArrayList<>();
         int bytes = 0;
@@ -147,7 +147,7 @@
             bytes += h.report.length;
         }
         open++;
-        runtime.call(new Call(owner, "POST", RelayCodec.PATH, RelayCodec.bundle(settings.node(), baton, reports), Constants.RELAY_TIMEOUT_MS, true), r -> {
+        runtime.call(new Call(owner, "POST", RelayCodec.PATH, RelayCodec.bundle(settings.node(), token, reports), Constants.RELAY_TIMEOUT_MS, true), r -> {
             open--;
             answered(bundle, leads, now, r);
             if (!held.isEmpty()) {
@@ -157,23 +157,23 @@
     }
 
     private void answered(List<Held> bundle, Membership.Owner by, long sent, Reply r) {
-        long baton = by.baton();
+        long token = by.token();
         List<Answer> answers = r.ok() ? RelayCodec.answers(r.body()) : List.of();
         if (r.ok() && answers.size() == bundle.size()) {
             failures = 0;
             plea.handedOn();
             long until = sent + Membership.certainly(RelayCodec.rightMs(r.body())); // the owner counted it from later on
             for (int i = 0; i < answers.size(); i++) {
-                bundle.get(i).answer.accept(answers.get(i).only(() -> runtime.now() < until && baton() == baton && !released.contains(by.member())));
+                bundle.get(i).answer.accept(answers.get(i).only(() -> runtime.now() < until && token() == token && !released.contains(by.member())));
             }
         } else if (r.status() == 404) {
-            LOG.info("the owner takes no bundles of reports baton={}", baton);
-            refusedBaton = baton;
+            LOG.info("the owner takes no bundles of reports token={}", token);
+            refusedToken = token;
             bundle.forEach(h -> h.answer.accept(toOwner()));
         } else {
             // Sent again, until its time is over: the owner takes a report that it knows for what it is. More and more seldom: it may be overloaded.
             bundle.forEach(this::hold);
-            plea.failed(baton, machines(bundle));
+            plea.failed(token, machines(bundle));
             notBefore = runtime.now() + (Constants.RELAY_RETRY_MS << Math.min(failures++, Constants.RELAY_DOUBLINGS));
         }
     }
--- a/src/main/java/org/hollypick/relay/RelayCodec.java
+++ b/src/main/java/org/hollypick/relay/RelayCodec.java
@@ -17,8 +17,8 @@
 
     private RelayCodec() {}
 
-    static JsonNode bundle(String node, long baton, List<byte[]> reports) {
-        ObjectNode body = Codec.object().put("node", node).put("baton", baton);
+    static JsonNode bundle(String node, long token, List<byte[]> reports) {
+        ObjectNode body = Codec.object().put("node", node).put("baton", token);
         ArrayNode list = body.putArray("reports");
         reports.forEach(list::add);
         return body;
@@ -28,9 +28,9 @@
      * The owner's side: an answer for each report of a bundle. {@code rightMs}: for how long from now these answers may be passed on; {@code hello}: by
      * report and by who sent it.
      */
-    public static Answer take(JsonNode body, long baton, LongSupplier rightMs, BiFunction<byte[], String, Answer> hello) {
-        if (body == null || Codec.u64(body.path("baton")) != baton) {
-            return Answer.later("not the owner under that baton");
+    public static Answer take(JsonNode body, long token, LongSupplier rightMs, BiFunction<byte[], String, Answer> hello) {
+        if (body == null || Codec.u64(body.path("baton")) != token) {
+            return Answer.later("not the owner under that token");
         }
         ArrayNode answers = Codec.array();
         for (JsonNode report : body.path("reports")) {
--- a/src/main/java/org/hollypick/worker/WorkerClient.java
+++ b/src/main/java/org/hollypick/worker/WorkerClient.java
@@ -19,8 +19,8 @@
     }
 
     /** {@code still}: whether this node may order anything, asked when the order is sent. */
-    public void command(String addr, long baton, long tenure, List<Order> orders, BooleanSupplier still, Consumer<Reply> reply) {
-        ObjectNode body = WorkerCodec.orders(baton, orders).put("tenure", tenure);
+    public void command(String addr, long token, long session, List<Order> orders, BooleanSupplier still, Consumer<Reply> reply) {
+        ObjectNode body = WorkerCodec.orders(token, orders).put("tenure", session);
         runtime.call(Call.of(addr, "POST", "/commands", body, Constants.ORDER_TIMEOUT_MS).only(still), reply);
     }
 
--- a/src/main/java/org/hollypick/worker/WorkerCodec.java
+++ b/src/main/java/org/hollypick/worker/WorkerCodec.java
@@ -35,21 +35,21 @@
                     case "hall" -> f.zone = text(p, value);
                     case "lendable" -> f.spot = value == JsonToken.VALUE_TRUE;
                     case "tenure" -> {
-                        f.hasTenure = value == JsonToken.VALUE_NUMBER_INT;
-                        f.tenure = u64(p, value);
+                        f.hasSession = value == JsonToken.VALUE_NUMBER_INT;
+                        f.session = u64(p, value);
                     }
                     case "tick" -> {
                         f.hasTick = value == JsonToken.VALUE_NUMBER_INT;
                         f.tick = u64(p, value);
                     }
-                    case "baton" -> f.baton = u64(p, value);
+                    case "baton" -> f.token = u64(p, value);
                     case "warning_s" -> f.noticeS = value.isNumeric() ? p.getDoubleValue() : Double.NaN;
                     case "shards" -> tasks(p, value, f.tasks);
                     default -> p.skipChildren();
                 }
             }
-            return f.machine.isEmpty() || !f.hasTenure || !f.hasTick ? null
-                    : new Report(f.machine, f.addr, f.type, f.zone, f.spot, f.tenure, f.tick, f.baton, f.noticeS, f.tasks);
+            return f.machine.isEmpty() || !f.hasSession || !f.hasTick ? null
+                    : new Report(f.machine, f.addr, f.type, f.zone, f.spot, f.session, f.tick, f.token, f.noticeS, f.tasks);
         } catch (IOException | RuntimeException e) {
             return null; // garbage from outside must never harm the node
         }
@@ -62,11 +62,11 @@
         private String type = "";
         private String zone = "";
         private boolean spot;
-        private boolean hasTenure;
+        private boolean hasSession;
         private boolean hasTick;
-        private long tenure;
+        private long session;
         private long tick;
-        private long baton;
+        private long token;
         private double noticeS = Double.NaN;
         private final List<TaskReport> tasks = new ArrayList<>();
     }
@@ -130,8 +130,8 @@
                 b.path("warning_s").isNumber() ? b.path("warning_s").asDouble() : Double.NaN, tasks);
     }
 
-    public static ObjectNode orders(long baton, List<Order> orders) {
-        ObjectNode body = Codec.object().put("baton", baton);
+    public static ObjectNode orders(long token, List<Order> orders) {
+        ObjectNode body = Codec.object().put("baton", token);
         ArrayNode list = body.putArray("orders");
         for (Order o : orders) {
             ObjectNode n = list.addObject();
--- a/src/test/java/org/hollypick/CancelModelTest.java
+++ b/src/test/java/org/hollypick/CancelModelTest.java
@@ -30,7 +30,7 @@
     private static final int WINDOW = CANCEL - LEASE;
     private static final int NEVER = -1;
 
-    /** The batons: the first controller's, the same after a fence, the second one's. */
+    /** The tokens: the first controller's, the same after a fence, the second one's. */
     private static final int FIRST = 1;
     private static final int FENCED = 2;
     private static final int SECOND = 3;
@@ -56,7 +56,7 @@
         /** Until when the second one may have renewed the lease, or the first one and whoever keeps leases under it. */
         int renewedUntil = NEVER;
         boolean secondFollowsAFence;
-        /** The write of the cancellation: the baton that it is conditional on, 0 for none; and what came of it. */
+        /** The write of the cancellation: the token that it is conditional on, 0 for none; and what came of it. */
         int writing;
         boolean durable;
         boolean answered;
@@ -69,16 +69,16 @@
         boolean there;
         /** What the first one knows of the task: shown by a report, or not yet. */
         boolean shown;
-        /** The machine has reported under the present roster's baton, if that isn't the one of the launch. */
+        /** The machine has reported under the present roster's token, if that isn't the one of the launch. */
         boolean heard;
         int leaseFrom;
-        int seenBaton = FIRST;
+        int seenToken = FIRST;
         /** The newest report: when it was sent, what it shows; NEVER for none. */
         int reportAt = NEVER;
         boolean reportShows;
-        int reportBaton;
+        int reportToken;
         /** The answer under way to it; 0 for none. */
-        int answerBaton;
+        int answerToken;
         boolean answerKills;
         boolean elsewhere;
         Rule broken;
@@ -102,8 +102,8 @@
                 renewedUntil, writtenAt, toldAt, leaseFrom, reportAt}) {
                 k = k << 4 | time + 1;
             }
-            for (int baton : new int[] {roster, writing, seenBaton, reportBaton, answerBaton}) {
-                k = k << 2 | baton;
+            for (int token : new int[] {roster, writing, seenToken, reportToken, answerToken}) {
+                k = k << 2 | token;
             }
             for (boolean bit : new boolean[] {up, holdGone, secondFollowsAFence, durable, answered, secondSees, asked, launchUnderWay, there, shown, heard, reportShows,
                 answerKills, elsewhere}) {
@@ -116,7 +116,7 @@
         public String toString() {
             return "now=" + now + " up=" + up + " entitledUntil=" + entitledUntil() + " promisedUntil=" + promisedUntil + " roster=" + roster + " writtenAt=" + writtenAt
                     + " durable=" + durable + " toldAt=" + toldAt + " launchUnderWay=" + launchUnderWay + " there=" + there + " shown=" + shown + " leaseFrom=" + leaseFrom
-                    + " seenBaton=" + seenBaton + " reportAt=" + reportAt + " answerBaton=" + answerBaton + " elsewhere=" + elsewhere + " broken=" + broken + "\n";
+                    + " seenToken=" + seenToken + " reportAt=" + reportAt + " answerToken=" + answerToken + " elsewhere=" + elsewhere + " broken=" + broken + "\n";
         }
 
         int entitledUntil() {
@@ -135,7 +135,7 @@
     private static void next(State s, Fault fault, Consumer<State> to) {
         if (s.now < TICKS) {
             State t = s.next(CancelModelTest::tick);
-            // A tenure that is over ends the task and refuses the launch: nothing more can happen here.
+            // A session that is over ends the task and refuses the launch: nothing more can happen here.
             if (t.now <= t.leaseFrom + LEASE) {
                 to.accept(t);
             }
@@ -194,7 +194,7 @@
         if (s.firstActs() && !s.asked) {
             to.accept(s.next(t -> t.asked = true));
         }
-        // A launch may come that no report has shown; after a fence, until a report comes that was made under the new baton.
+        // A launch may come that no report has shown; after a fence, until a report comes that was made under the new token.
         boolean launchMayCome = s.roster == FIRST ? !s.shown && fault != Fault.WRITES_DESPITE_A_LAUNCH : !s.heard && fault != Fault.WRITES_DESPITE_AN_OLDER_LAUNCH;
         if (s.firstActs() && s.asked && !s.durable && s.writing == 0 && !launchMayCome) {
             to.accept(s.next(t -> {
@@ -237,7 +237,7 @@
         if (s.launchUnderWay) {
             to.accept(s.next(t -> {
                 t.launchUnderWay = false;
-                t.there = t.seenBaton == FIRST; // a lower token is refused
+                t.there = t.seenToken == FIRST; // a lower token is refused
                 boolean late = t.toldAt != NEVER && t.now > t.toldAt + CANCEL;
                 t.broken = t.there && t.elsewhere ? Rule.RAN_TWICE : t.there && late ? Rule.RAN_CANCELLED : null;
             }));
@@ -247,24 +247,24 @@
         }
         // A question brings the token and renews nothing.
         if (s.roster == SECOND || s.firstActs()) {
-            to.accept(s.next(t -> t.seenBaton = Math.max(t.seenBaton, t.roster)));
+            to.accept(s.next(t -> t.seenToken = Math.max(t.seenToken, t.roster)));
         }
         if (s.reportAt < s.now) {
             to.accept(s.next(t -> {
                 t.reportAt = t.now;
                 t.reportShows = t.there;
-                t.reportBaton = t.seenBaton;
-                t.answerBaton = 0; // the one to the report before comes too late
+                t.reportToken = t.seenToken;
+                t.answerToken = 0; // the one to the report before comes too late
             }));
         }
-        if (s.answerBaton != 0) {
+        if (s.answerToken != 0) {
             to.accept(s.next(t -> {
-                if (t.answerBaton >= t.seenBaton) {
-                    t.seenBaton = t.answerBaton;
+                if (t.answerToken >= t.seenToken) {
+                    t.seenToken = t.answerToken;
                     t.leaseFrom = t.reportAt;
                     t.there &= !t.answerKills;
                 }
-                t.answerBaton = 0;
+                t.answerToken = 0;
             }));
         }
     }
@@ -275,25 +275,25 @@
             return;
         }
         int keptUntil = s.entitledUntil() + WINDOW + (fault == Fault.KEEPS_TOO_LONG ? 2 : 0);
-        int baton = s.roster == FENCED || s.secondFollowsAFence ? FENCED : FIRST;
-        if (s.answerBaton == 0 && s.reportBaton <= baton && s.now <= keptUntil) {
+        int token = s.roster == FENCED || s.secondFollowsAFence ? FENCED : FIRST;
+        if (s.answerToken == 0 && s.reportToken <= token && s.now <= keptUntil) {
             to.accept(s.next(t -> {
                 t.shown |= t.reportShows;
-                t.heard |= t.roster == FENCED && t.reportBaton == FENCED;
-                t.answerBaton = baton;
+                t.heard |= t.roster == FENCED && t.reportToken == FENCED;
+                t.answerToken = token;
                 t.answerKills = t.reportShows && (fault == Fault.ONLY_WHAT_IS_DURABLE_GOES ? t.answered : t.asked);
             }));
         }
         if (s.roster == SECOND) {
-            if (s.answerBaton == 0) {
+            if (s.answerToken == 0) {
                 to.accept(s.next(t -> {
-                    t.heard |= t.reportBaton == SECOND;
+                    t.heard |= t.reportToken == SECOND;
                     t.renewedUntil = Math.max(t.renewedUntil, t.now);
-                    t.answerBaton = SECOND;
+                    t.answerToken = SECOND;
                     t.answerKills = t.secondSees && t.reportShows;
                 }));
             }
-            boolean heard = s.reportBaton == SECOND || fault == Fault.A_COPY_IS_PROOF;
+            boolean heard = s.reportToken == SECOND || fault == Fault.A_COPY_IS_PROOF;
             if (!s.elsewhere && (heard && !s.reportShows || s.now > s.renewedUntil + LEASE)) {
                 to.accept(s.next(t -> {
                     t.elsewhere = true;
--- a/src/test/java/org/hollypick/HeedTest.java
+++ b/src/test/java/org/hollypick/HeedTest.java
@@ -30,10 +30,10 @@
 
 /** What a report is worth, against a worker whose truth is known: which answers it took, which of its reports are copies, and when it began again. */
 class HeedTest {
-    private static final long BATON = 7;
+    private static final long TOKEN = 7;
 
-    private static Report report(long tenure, long tick, long baton, TaskReport... tasks) {
-        return new Report("n-1", "addr:1", "t", "a", true, tenure, tick, baton, Double.NaN, List.of(tasks));
+    private static Report report(long session, long tick, long token, TaskReport... tasks) {
+        return new Report("n-1", "addr:1", "t", "a", true, session, tick, token, Double.NaN, List.of(tasks));
     }
 
     /**
@@ -45,14 +45,14 @@
         Random random = new Random(seed);
         Heed heed = new Heed();
         List<Report> sent = new ArrayList<>();
-        long baton = 0;
+        long token = 0;
         long attempt = 0;
         List<TaskReport> tasks = new ArrayList<>();
         List<Order> wanted = new ArrayList<>();
         int missed = 0;
         for (int tick = 1; tick <= 40; tick++) {
             long now = tick * 5_000L;
-            Report r = report(1, tick, baton, tasks.toArray(new TaskReport[0]));
+            Report r = report(1, tick, token, tasks.toArray(new TaskReport[0]));
             for (int copies = random.nextInt(3); copies > 0 && !sent.isEmpty(); copies--) {
                 assertEquals(Heed.Word.COPY, heed.word(sent.get(random.nextInt(sent.size())), now));
             }
@@ -61,12 +61,12 @@
             assertEquals(Heed.Word.COPY, heed.word(r, now + Constants.ANSWER_WAIT_MS));
             sent.add(r);
             wanted.removeIf(o -> tasks.stream().anyMatch(t -> t.attempt() == o.attempt()));
-            heed.reported(r, baton == BATON, wanted, now);
+            heed.reported(r, token == TOKEN, wanted, now);
             assertEquals(missed >= Constants.UNHEEDED, heed.deaf(), "after " + missed + " lost answers");
             wanted.add(new Order(Order.Verb.START, "req-1/" + attempt, ++attempt, 0));
             heed.told(List.copyOf(wanted));
             if (random.nextInt(100) < taken) {
-                baton = BATON;
+                token = TOKEN;
                 wanted.forEach(o -> tasks.add(new TaskReport(o.task(), o.attempt(), Placement.State.RUNNING, "")));
                 missed = 0;
             } else {
@@ -79,7 +79,7 @@
 
     private static final long LEASE_MS = 20_000;
     private final Settings settings = new Settings("n", "a", "p:1", "m:1", List.of(), "c:1", "s:1", List.of("a"), Map.of(), List.of(), 3, LEASE_MS / 1000.0, 40, 100, 30, 8192, 12, 8, 4, 1000);
-    private final Scheduler scheduler = new Scheduler(BATON, settings, 0.3, new Leases(settings, List.of(), 0, true));
+    private final Scheduler scheduler = new Scheduler(TOKEN, settings, 0.3, new Leases(settings, List.of(), 0, true));
 
     private Machine machine(String id, boolean registered) {
         return scheduler.addMachine(id, new MachineType("t", 8, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a")), "a", true, registered, 0);
@@ -89,14 +89,14 @@
         return scheduler.addJob(new JobSpec("req-1", "k", "", false, JobSpec.Rank.LOW, 1, 2, 0, 4, null, null, false, false, true, "img", 1, 10, 0, 0, Double.NaN), 1, under);
     }
 
-    /** Its tenure ends again and again, and each new one was counted from when it was heard of: the takeover never ended. */
+    /** Its session ends again and again, and each new one was counted from when it was heard of: the takeover never ended. */
     @Test
     void whatBeganAfterTheTermHoldsNothingOfOlderOnes() {
         Machine m = machine("n-1", true);
-        for (int tenure = 1; tenure < 4; tenure++) {
-            scheduler.ledger.report(m, report(tenure, tenure, 3), true, 15_000L * tenure);
-            scheduler.tick(15_000L * tenure);
-            assertEquals(tenure > 1, scheduler.settled(), "in tenure " + tenure);
+        for (int session = 1; session < 4; session++) {
+            scheduler.ledger.report(m, report(session, session, 3), true, 15_000L * session);
+            scheduler.tick(15_000L * session);
+            assertEquals(session > 1, scheduler.settled(), "in session " + session);
         }
     }
 
@@ -116,26 +116,26 @@
 
     /** A report of an earlier life has larger counts: taken for the newest it made tasks of the present one seem gone, and they were started again elsewhere. */
     @Test
-    void largerCountsBesideALowerBatonAreAnEarlierLifes() {
+    void largerCountsBesideALowerTokenAreAnEarlierLifes() {
         Machine m = machine("n-1", true);
-        scheduler.ledger.report(m, report(1, 5, BATON), true, 0);
-        Job job = job(BATON);
+        scheduler.ledger.report(m, report(1, 5, TOKEN), true, 0);
+        Job job = job(TOKEN);
         scheduler.pass(0);
         Placement p = job.live.get(0);
-        scheduler.ledger.report(m, report(1, 6, BATON, new TaskReport(p.taskId, p.attempt, Placement.State.RUNNING, "")), true, 1_000);
+        scheduler.ledger.report(m, report(1, 6, TOKEN, new TaskReport(p.taskId, p.attempt, Placement.State.RUNNING, "")), true, 1_000);
         assertFalse(scheduler.ledger.report(m, report(1, 99, 3), true, 2_000));
         assertEquals(p, job.live.get(0));
     }
 
-    /** After a lease that had ended, orders under its tenure went to a worker that had begun again with that tenure: the task ran there and elsewhere. */
+    /** After a lease that had ended, orders under its session went to a worker that had begun again with that session: the task ran there and elsewhere. */
     @Test
-    void nothingIsToldUnderATenureThatIsOver() {
+    void nothingIsToldUnderASessionThatIsOver() {
         Machine m = machine("n-1", true);
-        scheduler.ledger.report(m, report(1, 5, BATON), true, 0);
+        scheduler.ledger.report(m, report(1, 5, TOKEN), true, 0);
         scheduler.tick(LEASE_MS + 2_000);
         assertTrue(m.lapsed() && !m.usable());
-        assertFalse(scheduler.ledger.report(m, report(1, 6, BATON), true, LEASE_MS + 3_000));
-        scheduler.ledger.report(m, report(2, 1, BATON), true, LEASE_MS + 4_000);
+        assertFalse(scheduler.ledger.report(m, report(1, 6, TOKEN), true, LEASE_MS + 3_000));
+        scheduler.ledger.report(m, report(2, 1, TOKEN), true, LEASE_MS + 4_000);
         assertTrue(m.usable());
     }
 
@@ -143,12 +143,12 @@
     @Test
     void whatHasBegunAgainHasNothing() {
         Machine m = machine("n-1", true);
-        scheduler.ledger.report(m, report(1, 50, BATON), true, 0);
-        Job job = job(BATON);
+        scheduler.ledger.report(m, report(1, 50, TOKEN), true, 0);
+        Job job = job(TOKEN);
         scheduler.pass(0);
         Placement p = job.live.get(0);
-        scheduler.ledger.report(m, report(1, 51, BATON, new TaskReport(p.taskId, p.attempt, Placement.State.RUNNING, "")), true, 500);
-        scheduler.ledger.begunAgain(m, report(1, 1, BATON), 1_000);
+        scheduler.ledger.report(m, report(1, 51, TOKEN, new TaskReport(p.taskId, p.attempt, Placement.State.RUNNING, "")), true, 500);
+        scheduler.ledger.begunAgain(m, report(1, 1, TOKEN), 1_000);
         assertTrue(job.pending.get(0));
         assertFalse(m.usable());
     }
@@ -160,7 +160,7 @@
         m.registered = true;
         scheduler.ledger.report(m, report(1, 5, 0), true, 0);
         assertFalse(m.usable());
-        scheduler.ledger.report(m, report(1, 6, BATON), true, 500);
+        scheduler.ledger.report(m, report(1, 6, TOKEN), true, 500);
         assertTrue(m.usable());
     }
 }
--- a/src/test/java/org/hollypick/LedgerTest.java
+++ b/src/test/java/org/hollypick/LedgerTest.java
@@ -52,8 +52,8 @@
         return m;
     }
 
-    private static Report report(String id, long tenure, long tick, long baton, TaskReport... tasks) {
-        return new Report(id, "addr:1", "t", "a", true, tenure, tick, baton, Double.NaN, List.of(tasks));
+    private static Report report(String id, long session, long tick, long token, TaskReport... tasks) {
+        return new Report(id, "addr:1", "t", "a", true, session, tick, token, Double.NaN, List.of(tasks));
     }
 
     private Placement launched(Job job, Machine m, long now) {
@@ -132,7 +132,7 @@
         scheduler.pass(0);
         assertNull(older.live.get(0));
         assertNotNull(younger.live.get(0));
-        // a report made before the new baton was seen proves nothing: an older order may still be executed
+        // a report made before the new token was seen proves nothing: an older order may still be executed
         scheduler.ledger.report(silent, report("n-2", 1, 1, 4), true, 1_000);
         scheduler.pass(1_000);
         assertNull(older.live.get(0));
@@ -151,7 +151,7 @@
     }
 
     @Test
-    void reportsOfAnExpiredTenureSayNothing() {
+    void reportsOfAnExpiredSessionSayNothing() {
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         Placement p = launched(job, m, 0);
@@ -161,7 +161,7 @@
     }
 
     @Test
-    void unsignedTicksAndTenuresCompareAsUnsigned() {
+    void unsignedTicksAndSessionsCompareAsUnsigned() {
         assertTrue(report("n", 1, Long.MIN_VALUE, 0).newerThan(1, Long.MAX_VALUE));
         assertFalse(report("n", 1, 5, 0).newerThan(1, -1));
         assertTrue(report("n", -1, 0, 0).newerThan(1, -1));
@@ -202,9 +202,9 @@
         assertEquals(List.of(new Order(Order.Verb.STOP, p.taskId, p.attempt, 0)), scheduler.ledger.orders(m));
     }
 
-    /** Its tenure has ended, and the launch with it. */
+    /** Its session has ended, and the launch with it. */
     @Test
-    void aNewTenureEndsALaunchUnderWay() {
+    void aNewSessionEndsALaunchUnderWay() {
         Machine m = reporting();
         Job job = scheduler.addJob(spec("req-1", 1, false), 1, 5);
         launched(job, m, 0);
@@ -298,7 +298,7 @@
     }
 
     /** An owner before this one started those; one machine reports, the other, as large as the limit, doesn't. A new job of the team waits. */
-    private static Scheduler halfHeard(boolean olderKept, long baton) {
+    private static Scheduler halfHeard(boolean olderKept, long token) {
         Scheduler s = new Scheduler(5, LIMITED, 0.3, new Leases(LIMITED, List.of(), 0, true));
         if (olderKept) {
             s.olderKeptLimits();
@@ -307,7 +307,7 @@
         Machine m = s.addMachine("n-1", TYPE, "a", true, true, 0);
         s.addMachine("n-2", new MachineType("t", 16, 0, 64, 50, 1, 1, 0.4, 30, Set.of("a", "b")), "a", true, true, 0);
         s.addJob(spec("req-000002", 4, false), 6, 5);
-        s.ledger.report(m, report("n-1", 1, 1, baton, running("req-000001/0", 3), running("req-000001/1", 4)), true, 100);
+        s.ledger.report(m, report("n-1", 1, 1, token, running("req-000001/0", 3), running("req-000001/1", 4)), true, 100);
         s.pass(100);
         return s;
     }
--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -202,8 +202,8 @@
     }
 
     /** Any controller may pass on what the owner answers, but only while that one is the owner. */
-    private void answered(String node, long baton) {
-        JsonNode then = state.put("h/roster", baton);
+    private void answered(String node, long token) {
+        JsonNode then = state.put("h/roster", token);
         JsonNode now = state.data("h/roster");
         if (then == null || !then.path("leader").equals(now.path("leader")) || !then.path("member").equals(now.path("member"))) {
             checker.broken.add("answered_without_right " + node + " at " + world.now);
--- a/src/test/java/org/hollypick/sim/Growth.java
+++ b/src/test/java/org/hollypick/sim/Growth.java
@@ -104,10 +104,10 @@
         long known = 0;
         while (day.world.now < from + TAKEOVER_MS) {
             day.play(50);
-            long baton = day.state.stamp("h/roster");
+            long token = day.state.stamp("h/roster");
             led = led == 0 && !day.lead().equals(owner) ? day.world.now : led;
             List<WorkerStandIn> workers = day.cloud.workers();
-            long seen = workers.stream().filter(w -> w.baton >= baton).count();
+            long seen = workers.stream().filter(w -> w.token >= token).count();
             half = half == 0 && led > 0 && seen >= 0.5 * workers.size() ? day.world.now : half;
             known = known == 0 && led > 0 && seen >= 0.99 * workers.size() ? day.world.now : known;
         }
--- a/src/test/java/org/hollypick/sim/HearingTest.java
+++ b/src/test/java/org/hollypick/sim/HearingTest.java
@@ -42,7 +42,7 @@
         arrays(day).forEach(id -> assertTrue(day.checker.isOver(id), "seed " + seed + ": " + id + " isn't over"));
     }
 
-    /** They showed the old baton again and again, each answer lengthened their leases here, and no task of an older job started for as long as they reported. */
+    /** They showed the old token again and again, each answer lengthened their leases here, and no task of an older job started for as long as they reported. */
     @Test
     void aDeafZoneHoldsUpATakeoverForALeaseAtMost() {
         for (int seed = 1; seed <= 6; seed++) {
@@ -57,7 +57,7 @@
         }
     }
 
-    /** They drew task after task: each new tenure began empty, and what was launched there counted as there for ever. Now one tries them at most. */
+    /** They drew task after task: each new session began empty, and what was launched there counted as there for ever. Now one tries them at most. */
     @Test
     void blackHolesDrawNoWork() {
         for (int seed = 1; seed <= 6; seed++) {
--- a/src/test/java/org/hollypick/sim/MeetingsTest.java
+++ b/src/test/java/org/hollypick/sim/MeetingsTest.java
@@ -146,14 +146,14 @@
                     day.world.at(2_000, () -> day.crash(day.leader(), 200));
                 }
                 long from = day.world.now;
-                long baton = day.state.stamp("h/roster");
+                long token = day.state.stamp("h/roster");
                 while (!day.checker.isOver("req-000000")) {
                     day.play(10);
                     assertTrue(day.world.now - from < 120_000, "seed " + seed + ": never told");
                 }
                 waited += day.world.now - from > 5_000 ? 1 : 0;
-                fenced += day.state.stamp("h/roster") != baton && seed % 4 <= 1 ? 1 : 0;
-                assertTrue(!hangs || seed % 4 > 1 || day.state.stamp("h/roster") == baton, "the lease of one that hangs ends by itself");
+                fenced += day.state.stamp("h/roster") != token && seed % 4 <= 1 ? 1 : 0;
+                assertTrue(!hangs || seed % 4 > 1 || day.state.stamp("h/roster") == token, "the lease of one that hangs ends by itself");
                 int starts = day.checker.starts;
                 day.play(100_000);
                 assertEquals(starts, day.checker.starts, "seed " + seed + ": started after its user was told");
@@ -162,7 +162,7 @@
             }
         }
         assertTrue(waited > 10, "only " + waited + " cancellations had to wait");
-        assertTrue(fenced > 0, "no launch called for a new baton");
+        assertTrue(fenced > 0, "no launch called for a new token");
     }
 
     /** Tasks of a small job end far apart, and the lead changes again and again in between: none runs a second time, and each job is done. */
@@ -275,7 +275,7 @@
         return day;
     }
 
-    /** Copies of reports, of earlier tenures and lives too, at any controller, before and after a change of the lead. */
+    /** Copies of reports, of earlier sessions and lives too, at any controller, before and after a change of the lead. */
     @Test
     void oldReportsSayNothingToAnyLeader() {
         for (int seed = 1; seed <= 20; seed++) {
--- a/src/test/java/org/hollypick/sim/RelayTest.java
+++ b/src/test/java/org/hollypick/sim/RelayTest.java
@@ -109,8 +109,8 @@
         int lost = day.checker.lost;
         day.crash(day.leader(), 40_000);
         day.play(12_000);
-        long baton = day.state.stamp("h/roster");
-        assertTrue(day.cloud.workers().stream().allMatch(w -> w.baton >= baton), "every machine has seen the new owner's baton");
+        long token = day.state.stamp("h/roster");
+        assertTrue(day.cloud.workers().stream().allMatch(w -> w.token >= token), "every machine has seen the new owner's token");
         day.play(60_000);
         assertEquals(lost, day.checker.lost);
         assertEquals(List.of(), day.checker.broken);
--- a/src/test/java/org/hollypick/sim/WorkerStandIn.java
+++ b/src/test/java/org/hollypick/sim/WorkerStandIn.java
@@ -40,10 +40,10 @@
     private boolean down;
     private boolean sick;
     private int node;
-    private long tenure = 1;
+    private long session = 1;
     private long tick;
     /** The highest that it has seen. */
-    long baton;
+    long token;
     private long renewedAt;
     private boolean reporting;
     private long lastReport;
@@ -127,9 +127,9 @@
             reporting = false;
             renewedAt = world.now;
             if (anew) {
-                tenure = 1;
+                session = 1;
                 tick = 0;
-                baton = 0;
+                token = 0;
             }
             loop();
         });
@@ -170,7 +170,7 @@
                 checker.left(taskOf(k), this);
             });
             tasks.clear();
-            tenure++;
+            session++;
             renewedAt = world.now;
         }
     }
@@ -194,7 +194,7 @@
 
     private ObjectNode describe() {
         ObjectNode b = Codec.object().put("bothy", name).put("addr", addr).put("flavour", "t4").put("hall", zone).put("lendable", spot)
-                .put("tenure", tenure).put("tick", ++tick).put("baton", baton);
+                .put("tenure", session).put("tick", ++tick).put("baton", token);
         if (notice != null) {
             b.put("warning_s", notice);
         }
@@ -212,13 +212,13 @@
         reporting = true;
         lastReport = world.now;
         long sent = world.now;
-        long session = tenure;
+        long sentIn = session;
         int now = life;
         world.send(name, new Call(nodes.get(node), "POST", "/hello", describe(), 4_000, false), r -> act(now, () -> {
             reporting = false;
-            if (r.status() == 200 && tenure == session && world.now - sent <= 4_000 && r.body().path("baton").asLong() >= baton) {
-                boolean higher = r.body().path("baton").asLong() > baton;
-                baton = r.body().path("baton").asLong();
+            if (r.status() == 200 && session == sentIn && world.now - sent <= 4_000 && r.body().path("baton").asLong() >= token) {
+                boolean higher = r.body().path("baton").asLong() > token;
+                token = r.body().path("baton").asLong();
                 renewedAt = sent;
                 execute(r.body().path("orders"));
                 if (higher) {
@@ -338,11 +338,11 @@
         act(life, () -> {
             if (path.equals("/inspect")) {
                 reply.accept(new Reply(200, describe()));
-            } else if (body.path("baton").asLong() < baton || body.path("tenure").asLong() != tenure) {
+            } else if (body.path("baton").asLong() < token || body.path("tenure").asLong() != session) {
                 reply.accept(new Reply(409, describe()));
             } else {
-                boolean higher = body.path("baton").asLong() > baton;
-                baton = body.path("baton").asLong();
+                boolean higher = body.path("baton").asLong() > token;
+                token = body.path("baton").asLong();
                 execute(body.path("orders"));
                 if (higher) {
                     changed();
