--- a/src/test/java/org/hollypick/sim/Day.java
+++ b/src/test/java/org/hollypick/sim/Day.java
@@ -175,6 +175,23 @@
         sweep();
     }
 
+    /** Six services that nobody cancels run. */
+    Day withRunningServices() {
+        play(5_000);
+        submitLasting(6);
+        play(35_000);
+        if (checker.starts < 6) {
+            throw new AssertionError("only " + checker.starts + " tasks started");
+        }
+        return this;
+    }
+
+    /** A faulty version's settings: a cancelled task seems to have that much longer. */
+    static Settings greedy(Settings s, double moreS) {
+        return new Settings(s.node(), s.zone(), s.publicAddr(), s.meshAddr(), s.siblings(), s.cloud(), s.state(), s.zones(), s.teams(), s.objectives(),
+                s.reportS(), s.leaseS(), s.cancelS() + moreS, s.stateRps(), s.stateWriteRps(), s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.sockets());
+    }
+
     /** Limits of the state service. */
     record Limits(int valueBytes, int txnOps, double writeRps) {}
 
--- a/src/test/java/org/hollypick/sim/KeepingTest.java
+++ b/src/test/java/org/hollypick/sim/KeepingTest.java
@@ -135,9 +135,7 @@
     /** One that keeps leases for longer keeps tasks alive whose cancellation was told long ago. */
     @Test
     void theCheckerNoticesLeasesKeptForTooLong() {
-        BiFunction<Runtime, Settings, Node> greedy = (r, s) -> new Node(r, new Settings(s.node(), s.zone(), s.publicAddr(), s.meshAddr(), s.siblings(),
-                s.cloud(), s.state(), s.zones(), s.teams(), s.objectives(), s.reportS(), s.leaseS(), s.cancelS() + 60, s.stateRps(), s.stateWriteRps(),
-                s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.sockets()), OperatorSettings.defaults());
+        BiFunction<Runtime, Settings, Node> greedy = (r, s) -> NEW.apply(r, Day.greedy(s, 60));
         boolean noticed = false;
         for (int seed = 1; seed <= 20 && !noticed; seed++) {
             noticed = longCut(seed, greedy).checker.broken.stream().anyMatch(b -> b.startsWith("ran_cancelled"));
--- a/src/test/java/org/hollypick/sim/MeetingsTest.java
+++ b/src/test/java/org/hollypick/sim/MeetingsTest.java
@@ -24,18 +24,6 @@
     /** More are played outside CI: {@code mvn test -Dtest=MeetingsTest -Dmeetings.days=3000}. */
     private static final int DAYS = Integer.getInteger("meetings.days", 150);
 
-    private static Day dayWithRunningServices(long seed) {
-        return dayWithRunningServices(new Day(seed));
-    }
-
-    private static Day dayWithRunningServices(Day day) {
-        day.play(5_000);
-        day.submitLasting(6);
-        day.play(35_000);
-        assertTrue(day.checker.starts >= 6);
-        return day;
-    }
-
     /**
      * The gap: a cancellation is carried out and its answer to the leader lost; another controller, whose records show it, tells the user; then the service
      * is down for all for longer than a cancelled task has, while the leader goes on by the promises of the others and answers the workers.
@@ -43,7 +31,7 @@
     @Test
     void whatAnotherControllerToldAsCancelledIsGoneThoughTheLeaderCantKnow() {
         for (int seed = 1; seed <= 10; seed++) {
-            Day day = dayWithRunningServices(seed);
+            Day day = new Day(seed).withRunningServices();
             int leader = day.leader();
             day.world.cutOneWay("state:1", "bothy-" + leader, 14_000);
             day.withdrawAt(leader, "req-000000");
@@ -60,7 +48,7 @@
     @Test
     void slowAnswersBeforeAnOutageTellNothingOlder() {
         for (int seed = 1; seed <= 10; seed++) {
-            Day day = dayWithRunningServices(seed);
+            Day day = new Day(seed).withRunningServices();
             int leader = day.leader();
             day.world.slow("state:1", 4_000, 20_000);
             for (int i = 0; i < 4; i++) {
@@ -85,15 +73,13 @@
 
     @Test
     void theCheckerNoticesAnOldLeaderThatKeepsLeasesForLonger() {
-        BiFunction<Runtime, Settings, Node> greedy = (r, s) -> new Node(r, new Settings(s.node(), s.zone(), s.publicAddr(), s.meshAddr(), s.siblings(),
-                s.cloud(), s.state(), s.zones(), s.teams(), s.objectives(), s.reportS(), s.leaseS(), s.node().equals("bothy-0") ? s.cancelS() + 60 : s.cancelS(), s.stateRps(), s.stateWriteRps(),
-                s.valueBytes(), s.txnOps(), s.cloudRps(), s.listLagS(), s.sockets()), OperatorSettings.defaults());
+        BiFunction<Runtime, Settings, Node> greedy = (r, s) -> NEW.apply(r, s.node().equals("bothy-0") ? Day.greedy(s, 60) : s);
         // Only the old leader is greedy: the others reckon with the rights that there should be.
         assertTrue(cancelledThroughTheNewLeader(1, greedy).checker.broken.stream().anyMatch(b -> b.startsWith("ran_cancelled")));
     }
 
     private static Day cancelledThroughTheNewLeader(int seed, BiFunction<Runtime, Settings, Node> version) {
-        Day day = dayWithRunningServices(new Day(seed, 1, null, null, version));
+        Day day = new Day(seed, 1, null, null, version).withRunningServices();
         int old = day.leader();
         day.cutFromStateAndPeers(old, 110_000);
         List<String> ofZone = day.cloud.workers().stream().filter(w -> w.zone.equals("b")).map(w -> w.name).toList();
@@ -209,7 +195,7 @@
     @Test
     void theLeadGoesOverAndBack() {
         for (int seed = 1; seed <= 12; seed++) {
-            Day day = dayWithRunningServices(seed);
+            Day day = new Day(seed).withRunningServices();
             day.cancelledOf = 2;
             day.submitSome(20, 60_000);
             day.world.copyShare = 0.3;
@@ -337,7 +323,7 @@
     @Test
     void wrongAndDoubledRequestsWhileACancellationIsInDoubt() {
         for (int seed = 1; seed <= 5; seed++) {
-            Day day = dayWithRunningServices(seed);
+            Day day = new Day(seed).withRunningServices();
             int leader = day.leader();
             day.world.cutOneWay("state:1", "bothy-" + leader, 14_000);
             day.withdrawAt(leader, "req-000000");
--- a/src/test/java/org/hollypick/sim/RulesTest.java
+++ b/src/test/java/org/hollypick/sim/RulesTest.java
@@ -45,19 +45,10 @@
         day.checker.submitted.keySet().forEach(id -> assertTrue(!day.checker.isAccepted(id) || day.checker.isOver(id), id));
     }
 
-    private static Day dayWithRunningServices() {
-        Day day = new Day(3);
-        day.play(5_000);
-        day.submitLasting(6);
-        day.play(35_000);
-        assertTrue(day.checker.starts >= 6);
-        return day;
-    }
-
     /** An outage longer than hold and worker lease: the others' promises let the owner go on answering reports. */
     @Test
     void runningWorkSurvivesALongOutageOfTheStateService() {
-        Day day = dayWithRunningServices();
+        Day day = new Day(3).withRunningServices();
         day.state.outage(60_000);
         day.play(5_000);
         int lost = day.checker.lost;
@@ -70,7 +61,7 @@
     /** With one of the others gone there is no promise, so the owner must stop; nobody may act then. */
     @Test
     void withoutAllPromisesNobodyActsInAnOutage() {
-        Day day = dayWithRunningServices();
+        Day day = new Day(3).withRunningServices();
         day.world.at(100, () -> day.crash(0, 90_000));
         day.state.outage(60_000);
         day.play(5_000);
@@ -97,7 +88,7 @@
     /** An owner that no machine reaches kept its lead, and the leases of all of them ran out. */
     @Test
     void anOwnerCutOffFromTheMachinesLeavesTheLeadToAnother() {
-        Day day = dayWithRunningServices();
+        Day day = new Day(3).withRunningServices();
         int before = day.leader();
         int lost = day.checker.lost;
         day.cutFromWorkers(before, 40_000);
@@ -111,7 +102,7 @@
     /** An owner that alone can't reach the state service was replaced, after a hold's time without an owner, though another one reaches it. */
     @Test
     void anOwnerThatAloneCantReachTheStateServiceGoesOnByAnother() {
-        Day day = dayWithRunningServices();
+        Day day = new Day(3).withRunningServices();
         int before = day.leader();
         day.world.cut("bothy-" + before, "state:1", 40_000);
         day.submitSome(10, 20_000);
@@ -128,7 +119,7 @@
     /** It was promised the lead on and on, and took no new jobs: with no way by another one either it is replaced. */
     @Test
     void anOwnerWithoutAnyWayToTheStateServiceIsReplaced() {
-        Day day = dayWithRunningServices();
+        Day day = new Day(3).withRunningServices();
         int before = day.leader();
         day.world.cut("bothy-" + before, "state:1", 40_000);
         for (int other = 0; other < 3; other++) {
@@ -145,7 +136,7 @@
     /** In an outage for all nobody is better off elsewhere. */
     @Test
     void inAnOutageAllStayReady() {
-        Day day = dayWithRunningServices();
+        Day day = new Day(3).withRunningServices();
         day.state.outage(30_000);
         day.play(12_000);
         for (int node = 0; node < 3; node++) {
