--- a/src/main/java/org/hollypick/config/Constants.java
+++ b/src/main/java/org/hollypick/config/Constants.java
@@ -41,11 +41,14 @@
     /** Bits of an attempt number that count within one token; the rest is the token, so attempts never repeat. */
     public static final int ATTEMPT_BITS = 20;
 
-    /** Milliseconds for which a cancellation waits for a launch still under way before a new token ends that, if the machine's lease was renewed in these: most are heard of, or their machine is gone, by then. */
+    /** Milliseconds for which a cancellation waits for a launch still under way before a new token ends that, if the
+     * machine's lease was renewed in these: most are heard of, or their machine is gone, by then. */
     public static final long FENCE_MS = 15_000;
-    /** Milliseconds that a user waits for a cancellation before being told to ask again: less than the 2 s for which another controller waits for this answer. */
+    /** Milliseconds that a user waits for a cancellation before being told to ask again: less than the 2 s for which
+     * another controller waits for this answer. */
     public static final long CANCEL_PATIENCE_MS = 1_800;
-    /** Milliseconds until a cancellation that isn't known to be durable is written again though no user waits: longer than a write may take. */
+    /** Milliseconds until a cancellation that isn't known to be durable is written again though no user waits: longer than
+     * a write may take. */
     public static final long CANCEL_AGAIN_MS = 3_000;
 
     // ---- machines that only this owner can't reach ----
--- a/src/main/java/org/hollypick/control/Ends.java
+++ b/src/main/java/org/hollypick/control/Ends.java
@@ -96,8 +96,9 @@
     }
 
     /**
-     * Cancels a job: its tasks go at once, and its end is written, again and again until that is known to be durable. {@code told} gets true once it is, false
-     * if that takes longer than its user waits: by then another node may tell it all the same.
+     * Cancels a job: its tasks go at once, and its end is written, again and again until that is known to be durable.
+     * {@code told} gets true once it is, false if that takes longer than its user waits: by then another node may tell it
+     * all the same.
      */
     public void cancel(Job job, Consumer<Boolean> told) {
         Cancellation c = cancelling.computeIfAbsent(job.spec.id(), id -> {
@@ -115,9 +116,10 @@
     }
 
     /**
-     * Writes the cancellations that wait. None while a launch of the job may yet be carried out: so from the moment when anybody can be told, all that there is
-     * of it is shown by the reports that are answered, and told to end by each answer. {@code reachable}: the state service answers; without a user who waits
-     * it is written only then, and after everything that users wait for.
+     * Writes the cancellations that wait. None while a launch of the job may yet be carried out: so from the moment when
+     * anybody can be told, all that there is of it is shown by the reports that are answered, and told to end by each
+     * answer. {@code reachable}: the state service answers; without a user who waits it is written only then, and after
+     * everything that users wait for.
      */
     void writeCancellations(boolean reachable) {
         long now = runtime.now();
@@ -144,11 +146,12 @@
     }
 
     /**
-     * A launch has kept a cancellation waiting for so long, on a machine whose lease is still renewed, that a new token has to end it: workers refuse what was
-     * sent under the older one.
+     * A launch has kept a cancellation waiting for so long, on a machine whose lease is still renewed, that a new token has
+     * to end it: workers refuse what was sent under the older one.
      */
     boolean fenceDue(long now) {
-        return cancelling.values().stream().anyMatch(c -> now - c.since > Constants.FENCE_MS && scheduler.ledger.launchUnderWay(c.job, now - Constants.FENCE_MS));
+        long since = now - Constants.FENCE_MS;
+        return cancelling.values().stream().anyMatch(c -> c.since < since && scheduler.ledger.launchUnderWay(c.job, since));
     }
 
     /** Until the outcome is known for certain, this node's own idea of the job is no answer to users. */
--- a/src/main/java/org/hollypick/control/Term.java
+++ b/src/main/java/org/hollypick/control/Term.java
@@ -304,7 +304,8 @@
         String is = membership.right(token);
         if (!is.equals(right)) {
             right = is;
-            LOG.info("right to act and to renew leases by={} ms={} token={}", right, membership.entitledUntil(token) - now, token);
+            long ms = membership.entitledUntil(token) - now;
+            LOG.info("right to act and to renew leases by={} ms={} token={}", right, ms, token);
         }
     }
 
--- a/src/main/java/org/hollypick/core/Ledger.java
+++ b/src/main/java/org/hollypick/core/Ledger.java
@@ -397,12 +397,15 @@
         }
     }
 
-    /** Whether a launch of this job that went out directly may yet be carried out, at any time while the machine's session and token last. */
+    /**
+     * Whether a launch of this job that went out directly may yet be carried out, at any time while the machine's session
+     * and token last.
+     */
     public boolean launchUnderWay(Job job) {
         return launchUnderWay(job, Long.MIN_VALUE);
     }
 
-    /** The same on a machine whose lease was renewed since then: others' leases end by themselves, and the launch with them. */
+    /** The same on a machine whose lease was renewed since: others' leases end by themselves, and the launch with them. */
     public boolean launchUnderWay(Job job, long renewedSince) {
         for (Placement p : job.live.values()) {
             if (p.state() == State.SENT && (p.directInFlight || p.directDoubt) && p.machine.answeredAt > renewedSince) {
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -162,8 +162,8 @@
     }
 
     /**
-     * Its user asked to cancel it: whoever sees that in the records first may tell so from now on, and this owner need not be the first. Nothing of the job
-     * starts from here on, and all of it goes; what it would do yet is of use to nobody.
+     * Its user asked to cancel it: whoever sees that in the records first may tell so, and this owner need not be the first.
+     * Nothing of the job starts from here on, and all of it goes; what it would do yet is of use to nobody.
      */
     public void cancel(Job job) {
         job.withdrawn = true;
@@ -238,7 +238,10 @@
         }
     }
 
-    /** Whether a launch of the job may yet be carried out that no report has shown: this owner's, or an older one's on a machine that isn't heard yet. */
+    /**
+     * Whether a launch of the job may yet be carried out that no report has shown: this owner's, or an older one's on a
+     * machine that isn't heard yet.
+     */
     public boolean launchMayCome(Job job) {
         return ledger.launchUnderWay(job) || job.under != token && !allHeard();
     }
