--- a/src/test/java/org/hollypick/sim/MeetingsTest.java
+++ b/src/test/java/org/hollypick/sim/MeetingsTest.java
@@ -24,6 +24,13 @@
     /** More are played outside CI: {@code mvn test -Dtest=MeetingsTest -Dmeetings.days=3000}. */
     private static final int DAYS = Integer.getInteger("meetings.days", 150);
 
+    /** Its write is carried out, and nothing of that comes back to the leader. */
+    private static void cancelWithoutAnswer(Day day, int leader) {
+        day.world.cutOneWay("state:1", "bothy-" + leader, 14_000);
+        day.withdrawAt(leader, "req-000000");
+        day.play(60);
+    }
+
     /**
      * The gap: a cancellation is carried out and its answer to the leader lost; another controller, whose records show it, tells the user; then the service
      * is down for all for longer than a cancelled task has, while the leader goes on by the promises of the others and answers the workers.
@@ -33,9 +40,7 @@
         for (int seed = 1; seed <= 10; seed++) {
             Day day = new Day(seed).withRunningServices();
             int leader = day.leader();
-            day.world.cutOneWay("state:1", "bothy-" + leader, 14_000);
-            day.withdrawAt(leader, "req-000000");
-            day.play(60);
+            cancelWithoutAnswer(day, leader);
             Reply told = day.askAt((leader + 1) % 3, "GET", "/submissions/req-000000", null);
             assertEquals("aborted", told.body().path("status").asText(), "seed " + seed);
             day.state.outage(OUTAGE_MS);
@@ -325,9 +330,7 @@
         for (int seed = 1; seed <= 5; seed++) {
             Day day = new Day(seed).withRunningServices();
             int leader = day.leader();
-            day.world.cutOneWay("state:1", "bothy-" + leader, 14_000);
-            day.withdrawAt(leader, "req-000000");
-            day.play(60);
+            cancelWithoutAnswer(day, leader);
             day.state.outage(OUTAGE_MS);
             day.play(5_000);
             for (int node = 0; node < 3; node++) {
