--- /dev/null
+++ b/src/test/java/org/hollypick/KnownRedListTest.java
@@ -0,0 +1,74 @@
+package org.hollypick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** The build leaves out exactly the tests that KNOWN-RED.txt lists: a tag alone would hide a failing test. */
+class KnownRedListTest {
+    /** Holds no test: its tagged method only shows that tags are found. */
+    static final class Tagged {
+        @Tag(KnownRedList.TAG)
+        void red() {}
+
+        void green() {}
+    }
+
+    private static List<KnownRedList.Entry> listOf(String test, String selector) {
+        return KnownRedList.parse(List.of("test: " + test + "; command: mvn -B test -Dexcluded.tags= -Dtest=" + selector
+                + "; seed: none; seen: 2 where 1 is right; issue: Some issue"));
+    }
+
+    @Test
+    void theBuildLeavesOutExactlyTheListedTests() throws IOException {
+        JavaClasses classes = new ClassFileImporter()
+                .withImportOption(location -> !location.contains("KnownRedListTest"))
+                .importPackages("org.hollypick");
+        assertEquals(
+                List.of(),
+                KnownRedList.differences(
+                        KnownRedList.taggedTests(classes), KnownRedList.read(Path.of("KNOWN-RED.txt"))));
+    }
+
+    @Test
+    void findsTaggedTests() {
+        assertEquals(
+                Set.of("Tagged.red"), KnownRedList.taggedTests(new ClassFileImporter().importClasses(Tagged.class)));
+    }
+
+    @Test
+    void noticesATaggedTestThatIsNotListed() {
+        assertEquals(
+                List.of("tagged but not listed: Tagged.red"),
+                KnownRedList.differences(Set.of("Tagged.red"), List.of()));
+    }
+
+    @Test
+    void noticesAListedTestThatIsNotTagged() {
+        assertEquals(
+                List.of("listed but not tagged: SomeTest.red"),
+                KnownRedList.differences(Set.of(), listOf("SomeTest.red", "SomeTest#red")));
+    }
+
+    @Test
+    void noticesACommandThatRunsAnotherTest() {
+        Set<String> tagged = Set.of("SomeTest.red");
+        assertEquals(List.of(), KnownRedList.differences(tagged, listOf("SomeTest.red", "SomeTest#red")));
+        assertEquals(
+                List.of("its command doesn't run it: SomeTest.red"),
+                KnownRedList.differences(tagged, listOf("SomeTest.red", "OtherTest#red")));
+    }
+
+    @Test
+    void refusesALineThatLacksAField() {
+        assertThrows(IllegalArgumentException.class, () -> KnownRedList.parse(List.of("test: SomeTest.red; seed: 1")));
+    }
+}
