scale_out.planned: the figures of each scale-out decision in the log

Cause: the log told neither what a request for machines rested on nor which machines counted as capacity though nothing could start on them, so the ways in which a bound by quota starves jobs couldn't be told apart.

--- a/src/main/java/org/hollypick/control/provisioning/InstanceProvisioner.java
+++ b/src/main/java/org/hollypick/control/provisioning/InstanceProvisioner.java
@@ -5,11 +5,13 @@
 import java.util.function.BooleanSupplier;
 import org.hollypick.cloud.CloudClient;
 import org.hollypick.config.OperatorSettings;
+import org.hollypick.config.constants.ReconcileConstants;
 import org.hollypick.control.TermContext;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.assignment.Assignment;
 import org.hollypick.core.assignment.Machine;
 import org.hollypick.core.autoscaling.Autoscaler;
+import org.hollypick.core.autoscaling.ScaleOutDecision;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,6 +31,8 @@
     private final ScaleOutRequester scaleOutRequester;
     private final InstanceListReconciler listReconciler;
     private final long startedAt;
+    /** When a decision that asks for nothing is logged again. */
+    private long decisionLogDueAt;
 
     /**
      * {@code acceptsJobs}: whether users can submit jobs now, so that missing arrivals mean a lower load;
@@ -72,12 +76,31 @@
         }
         Autoscaler.Plan plan =
                 autoscaler.plan(scheduler, term.machineTypes(), term.settings().zones(), partitionedZones, now);
+        logDecision(plan.decision(), now);
         scaleOutRequester.requestUnlessInFlight(plan.scaleOut());
         terminator.terminate(plan.scaleIn(), TerminationReason.IDLE);
         plan.moves().forEach(this::move);
         term.requestReconcile();
     }
 
+    /** Logs each decision that asks for machines, and the others at the interval of the metrics. */
+    private void logDecision(ScaleOutDecision decision, long now) {
+        if (decision.requestedCores() <= 0 && now < decisionLogDueAt) {
+            return;
+        }
+        decisionLogDueAt = now + ReconcileConstants.METRICS_LOG_INTERVAL_MS;
+        LOG.info(
+                "scale_out.planned requested_cores={} service_cores={} array_cores={} usable_array_cores={} load_cores={}"
+                        + " supply_cores={} runnable_cores={}",
+                Math.round(decision.requestedCores()),
+                Math.round(decision.serviceCores()),
+                Math.round(decision.arrayCores()),
+                Math.round(decision.usableArrayCores()),
+                Math.round(decision.loadCores()),
+                Math.round(decision.supplyCores()),
+                Math.round(decision.runnableCores()));
+    }
+
     /** Whether machines that an earlier leader requested may not be known yet. */
     private boolean mayMissInstances(long now) {
         if (firstTerm) {
--- a/src/main/java/org/hollypick/core/autoscaling/Autoscaler.java
+++ b/src/main/java/org/hollypick/core/autoscaling/Autoscaler.java
@@ -31,28 +31,10 @@
      * @param scaleOut the machines to start
      * @param scaleIn the machines to terminate
      * @param moves replicas to stop, so that they start again on a machine that is kept
+     * @param decision what the scale-out rests on
      */
-    public record Plan(List<ScaleOut> scaleOut, List<Machine> scaleIn, List<Assignment> moves) {}
-
-    /** The usable machines' cores. */
-    private static final class Supply {
-        private double spotCores;
-        private double onDemandCores;
-        private final Map<String, Double> onDemandCoresByZone = new HashMap<>();
-
-        void add(Machine machine) {
-            if (machine.spot) {
-                spotCores += machine.type.cpus();
-            } else {
-                onDemandCoresByZone.merge(machine.zone, machine.type.cpus(), Double::sum);
-                onDemandCores += machine.type.cpus();
-            }
-        }
-
-        double onDemandCores(String zone) {
-            return onDemandCoresByZone.getOrDefault(zone, 0.0);
-        }
-    }
+    public record Plan(
+            List<ScaleOut> scaleOut, List<Machine> scaleIn, List<Assignment> moves, ScaleOutDecision decision) {}
 
     private final OperatorSettings operator;
     private final LoadEstimate load;
@@ -102,7 +84,13 @@
         CapacityDemand demand = CapacityDemand.of(scheduler, zones, now);
         load.update(scheduler, now);
         instanceSelector.startPlan(types, now);
-        Supply supply = supply(scheduler, partitionedZones, now);
+        CapacitySupply supply = CapacitySupply.of(
+                scheduler.machines(),
+                partitionedZones,
+                now,
+                machine -> instanceSelector.count(new Kind(machine.type.name(), machine.zone, machine.spot), 1));
+        double supplyCores = supply.cores();
+        double runnableCores = supply.runnableCores();
         List<ScaleOut> scaleOut = new ArrayList<>();
         Map<String, Double> spareOnDemandCores = new HashMap<>();
         double serviceCores = 0;
@@ -115,10 +103,10 @@
                 scaleOut.addAll(instanceSelector
                         .select(demand.serviceSpec(), List.of(zone), false, missing)
                         .requests());
-                supply.onDemandCores += missing;
+                supply.addOnDemand(zone, missing, true);
             }
         }
-        double arraySupply = supply.spotCores + Math.max(0, supply.onDemandCores - serviceCores);
+        double arraySupply = supply.spotCores() + Math.max(0, supply.onDemandCores() - serviceCores);
         double baseCores = load.arrayCores() * AutoscalingConstants.LOAD_HEADROOM * load.confidence();
         if (demand.arraySpec() != null) {
             List<String> reachableZones = zones.stream()
@@ -135,25 +123,15 @@
         return new Plan(
                 scaleOut,
                 scaleInPlanner.machinesToTerminate(machines, spareOnDemandCores, arraySupply - baseCores, now),
-                moves);
-    }
-
-    private Supply supply(Scheduler scheduler, Set<String> partitionedZones, long now) {
-        Supply supply = new Supply();
-        for (Machine machine : scheduler.machines()) {
-            if (isUsable(machine, partitionedZones, now)) {
-                instanceSelector.count(new Kind(machine.type.name(), machine.zone, machine.spot), 1);
-                supply.add(machine);
-            }
-        }
-        return supply;
-    }
-
-    private static boolean isUsable(Machine machine, Set<String> partitionedZones, long now) {
-        double maxBootMillis = AutoscalingConstants.SLOW_BOOT_MULTIPLE * 1000 * machine.type.bootS();
-        boolean isSlowToBoot = !machine.heartbeatReceived() && now - machine.createdAt > maxBootMillis;
-        boolean isLost = machine.unreachable() && !partitionedZones.contains(machine.zone);
-        return !machine.isScalingIn() && !machine.draining() && !machine.faults.faulty() && !isSlowToBoot && !isLost;
+                moves,
+                new ScaleOutDecision(
+                        serviceCores,
+                        demand.arrayCores(),
+                        demand.usableCores(),
+                        baseCores,
+                        supplyCores,
+                        runnableCores,
+                        instanceSelector.cores(scaleOut)));
     }
 
     /** Cores that services need in a zone, with the standby for services to come. */
--- /dev/null
+++ b/src/main/java/org/hollypick/core/autoscaling/CapacitySupply.java
@@ -0,0 +1,104 @@
+package org.hollypick.core.autoscaling;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hollypick.config.constants.AutoscalingConstants;
+import org.hollypick.core.assignment.Machine;
+
+/**
+ * The cores of the machines that count as capacity, those that boot included. A machine in a partitioned zone counts,
+ * since most will recover, but isn't runnable: no task can start there before it does. Confined to the event loop.
+ */
+final class CapacitySupply {
+    private double spotCores;
+    private double onDemandCores;
+    private double runnableSpotCores;
+    private final Map<String, Double> onDemandCoresByZone = new HashMap<>();
+    private final Map<String, Double> runnableOnDemandCoresByZone = new HashMap<>();
+
+    /** Adds up the machines, and passes on each one that counts. */
+    static CapacitySupply of(
+            Collection<Machine> machines, Set<String> partitionedZones, long now, Consumer<Machine> counted) {
+        CapacitySupply supply = new CapacitySupply();
+        for (Machine machine : machines) {
+            if (counts(machine, partitionedZones, now)) {
+                supply.add(machine, isRunnable(machine, partitionedZones));
+                counted.accept(machine);
+            }
+        }
+        return supply;
+    }
+
+    private static boolean counts(Machine machine, Set<String> partitionedZones, long now) {
+        double maxBootMillis = AutoscalingConstants.SLOW_BOOT_MULTIPLE * 1000 * machine.type.bootS();
+        boolean isSlowToBoot = !machine.heartbeatReceived() && now - machine.createdAt > maxBootMillis;
+        boolean isLost = machine.unreachable() && !partitionedZones.contains(machine.zone);
+        return !machine.isScalingIn() && !machine.draining() && !machine.faults.faulty() && !isSlowToBoot && !isLost;
+    }
+
+    /** Whether the machine takes tasks, or will once it has booted or was reconciled. */
+    private static boolean isRunnable(Machine machine, Set<String> partitionedZones) {
+        return !machine.unreachable() && !machine.awaitsHeartbeat() && !partitionedZones.contains(machine.zone);
+    }
+
+    private void add(Machine machine, boolean runnable) {
+        double cores = machine.type.cpus();
+        if (machine.spot) {
+            spotCores += cores;
+            runnableSpotCores += runnable ? cores : 0;
+        } else {
+            addOnDemand(machine.zone, cores, runnable);
+        }
+    }
+
+    /** On-demand machines are being started in the zone. */
+    void addOnDemand(String zone, double cores, boolean runnable) {
+        onDemandCoresByZone.merge(zone, cores, Double::sum);
+        onDemandCores += cores;
+        if (runnable) {
+            runnableOnDemandCoresByZone.merge(zone, cores, Double::sum);
+        }
+    }
+
+    /** Cores of the spot machines that count. */
+    double spotCores() {
+        return spotCores;
+    }
+
+    /** Cores of the on-demand machines that count. */
+    double onDemandCores() {
+        return onDemandCores;
+    }
+
+    /** Cores of the zone's on-demand machines that count. */
+    double onDemandCores(String zone) {
+        return onDemandCoresByZone.getOrDefault(zone, 0.0);
+    }
+
+    /** Cores of the runnable spot machines. */
+    double runnableSpotCores() {
+        return runnableSpotCores;
+    }
+
+    /** Cores of the zone's runnable on-demand machines. */
+    double runnableOnDemandCores(String zone) {
+        return runnableOnDemandCoresByZone.getOrDefault(zone, 0.0);
+    }
+
+    /** Cores of all machines that count. */
+    double cores() {
+        return spotCores + onDemandCores;
+    }
+
+    /** Cores of all runnable machines. */
+    double runnableCores() {
+        double cores = runnableSpotCores;
+        for (double zoneCores : runnableOnDemandCoresByZone.values()) {
+            cores += zoneCores;
+        }
+        return cores;
+    }
+}
--- a/src/main/java/org/hollypick/core/autoscaling/InstanceSelector.java
+++ b/src/main/java/org/hollypick/core/autoscaling/InstanceSelector.java
@@ -68,6 +68,15 @@
         return new Selection(requests, true);
     }
 
+    /** Cores of the machines that these requests ask for. */
+    double cores(List<ScaleOut> requests) {
+        double cores = 0;
+        for (ScaleOut request : requests) {
+            cores += request.count() * types.get(request.kind().type()).cpus();
+        }
+        return cores;
+    }
+
     /** The machines to start; {@code isAvailable}: false if the cloud refused all kinds that the job may use. */
     record Selection(List<ScaleOut> requests, boolean isAvailable) {}
 
