--- a/src/test/java/org/hollypick/sim/ClusterScenario.java
+++ b/src/test/java/org/hollypick/sim/ClusterScenario.java
@@ -130,6 +130,27 @@
         checkInvariants();
     }
 
+    /**
+     * A cluster whose teams may use so many cores each.
+     *
+     * @param version as built with the usual settings, the quotas apart
+     */
+    static ClusterScenario withQuotas(
+            long seed,
+            int size,
+            List<String> teams,
+            double quotaCores,
+            BiFunction<EventLoop, Settings, Controller> version) {
+        ClusterScenario scenario = new ClusterScenario(
+                seed,
+                size,
+                null,
+                null,
+                (eventLoop, settings) -> version.apply(eventLoop, withTeams(settings, teams, quotaCores)));
+        teams.forEach(team -> scenario.checker.tasks.coresByTeam.put(team, quotaCores));
+        return scenario;
+    }
+
     private static List<String> publicAddresses() {
         List<String> addresses = new ArrayList<>();
         for (int i = 0; i < CONTROLLERS; i++) {
