--- a/src/test/java/org/hollypick/core/autoscaling/AutoscalerTest.java
+++ b/src/test/java/org/hollypick/core/autoscaling/AutoscalerTest.java
@@ -389,4 +389,55 @@
         assertEquals(
                 320, rentedCores(new Autoscaler(OperatorSettings.defaults(), true).plan(limited, TYPES, ZONES, 1_000)));
     }
+
+    /**
+     * A quota of GPUs alone counted as no limit: with room for four GPUs' worth of tasks in the quota, machines were
+     * rented for all that waited.
+     */
+    @Test
+    void tasksBeyondATeamsGpuQuotaCauseNoScaleOut() {
+        MachineType gpuType = new MachineType("g", 16, 4, 64, 50, 1, 1, 0.4, 50, Set.of("a", "b"));
+        Settings limited = new SettingsBuilder()
+                .zones(ZONES)
+                .teams(Map.of("team", new Settings.Team("team", 0, 0, 0, 8)))
+                .build();
+        Scheduler few = new Scheduler(5, limited, 0.3, new WorkerLeases(limited, List.of(), 0, true));
+        few.addJob(
+                new JobSpec(
+                        "req-1",
+                        "train",
+                        "team",
+                        false,
+                        JobSpec.Priority.NORMAL,
+                        400,
+                        2,
+                        1,
+                        1,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        "img",
+                        1,
+                        300,
+                        0,
+                        0,
+                        Double.NaN),
+                1,
+                5);
+        Autoscaler autoscaler = new Autoscaler(OperatorSettings.defaults(), true);
+        for (long now = 1_000; now <= 3_000; now += 1_000) {
+            // Each plan counts the machines of the one before: the first goes by cores, the next see the GPUs taken.
+            for (Autoscaler.ScaleOut request :
+                    autoscaler.plan(few, Map.of("g", gpuType), ZONES, now).scaleOut()) {
+                for (int i = 0; i < request.count(); i++) {
+                    few.addMachine("n-" + machines++, gpuType, request.kind().zone(), true, false, now);
+                }
+            }
+        }
+        double gpus = few.machines().size() * gpuType.gpus();
+        assertTrue(gpus >= 8, "room for the quota: " + gpus);
+        assertTrue(gpus <= 8 + ZONES.size() * gpuType.gpus(), "GPUs rented: " + gpus);
+    }
 }
