--- a/src/main/java/org/hollypick/core/autoscaling/CapacityDemand.java
+++ b/src/main/java/org/hollypick/core/autoscaling/CapacityDemand.java
@@ -64,7 +64,7 @@
         services.forEach(demand::addRunningReplicas);
         services.forEach(demand::addPendingReplicas);
         demand.beyondServices = demand.budget.copy();
-        arrays.forEach(job -> job.assignments.values().forEach(demand::addRunningTask));
+        arrays.forEach(demand::addRunningTasks);
         arrays.forEach(demand::addPendingTasks);
         return demand;
     }
@@ -136,17 +136,51 @@
 
     // ---- job arrays ----
 
-    private void addRunningTask(Assignment assignment) {
-        JobSpec spec = assignment.spec;
-        double expectedS = scheduler.expectedRunS(spec);
-        double elapsedS = assignment.runningAt() > 0 ? (now - assignment.runningAt()) / 1000.0 : 0;
-        double remainingS = Math.max(expectedS - elapsedS, expectedS * MIN_REMAINING_SHARE);
-        if (isReachable(assignment.machine.zone)) {
-            arrayCoreSecondsByTeam.addTo(spec.team(), spec.cpus() * remainingS);
-            addArrayTasks(spec, 1);
-        } else {
-            arrayCores += spec.cpus();
-            budget.takeAll(spec, 1); // it holds its quota there until its lease has expired
+    /** The running tasks of a job are added up by what they take, most often the same: there are thousands. */
+    private void addRunningTasks(Job job) {
+        RunningTasks tasks = null;
+        for (Assignment assignment : job.assignments.values()) {
+            if (tasks == null || tasks.spec != assignment.spec) {
+                addRunningTasks(tasks);
+                tasks = new RunningTasks(assignment.spec, scheduler.expectedRunS(assignment.spec));
+            }
+            tasks.add(assignment, isReachable(assignment.machine.zone), now);
+        }
+        addRunningTasks(tasks);
+    }
+
+    private void addRunningTasks(RunningTasks tasks) {
+        if (tasks != null) {
+            JobSpec spec = tasks.spec;
+            arrayCores += tasks.unreachable * spec.cpus();
+            budget.takeAll(spec, tasks.unreachable); // they hold their quota there until their leases have expired
+            arrayCoreSecondsByTeam.addTo(spec.team(), spec.cpus() * tasks.remainingS);
+            addArrayTasks(spec, tasks.reachable);
+        }
+    }
+
+    /** Running tasks that take the same. */
+    private static final class RunningTasks {
+        private final JobSpec spec;
+        private final double expectedS;
+        private int reachable;
+        private int unreachable;
+        /** Seconds that the reachable tasks have left, added up. */
+        private double remainingS;
+
+        RunningTasks(JobSpec spec, double expectedS) {
+            this.spec = spec;
+            this.expectedS = expectedS;
+        }
+
+        void add(Assignment assignment, boolean isReachable, long now) {
+            if (isReachable) {
+                double elapsedS = assignment.runningAt() > 0 ? (now - assignment.runningAt()) / 1000.0 : 0;
+                remainingS += Math.max(expectedS - elapsedS, expectedS * MIN_REMAINING_SHARE);
+                reachable++;
+            } else {
+                unreachable++;
+            }
         }
     }
 
--- a/src/main/java/org/hollypick/core/autoscaling/TaskPacking.java
+++ b/src/main/java/org/hollypick/core/autoscaling/TaskPacking.java
@@ -63,10 +63,15 @@
 
     /** Cores of the tasks that find no room on these machines. */
     double coresWithoutRoom(Collection<Machine> machines) {
-        Map<TaskSize, Integer> waiting = new TreeMap<>(LARGEST_FIRST);
+        if (tasks.isEmpty()) {
+            return 0;
+        }
+        TreeMap<TaskSize, Integer> waiting = new TreeMap<>(LARGEST_FIRST);
         waiting.putAll(tasks);
+        double fewestCpus = waiting.lastKey().cpus;
         for (Machine machine : machines) {
-            if (!machine.isEvicting()) {
+            boolean mayFit = machine.type.cpus() - machine.usedCpus() + SLACK >= fewestCpus;
+            if (mayFit && !machine.isEvicting()) {
                 Room room = new Room(machine);
                 waiting.replaceAll((size, count) -> count - room.pack(size, count));
             }
