--- a/src/test/java/org/hollypick/core/RefusedLaunchTest.java
+++ b/src/test/java/org/hollypick/core/RefusedLaunchTest.java
@@ -47,30 +47,7 @@
             scheduler.addMachine("n-" + i, TYPE, "a", true, false, 0).markRegistered();
         }
         heartbeats(State.RUNNING, "");
-        return scheduler.addJob(
-                new JobSpec(
-                        "req-1",
-                        "k",
-                        "team",
-                        false,
-                        JobSpec.Priority.NORMAL,
-                        1,
-                        2,
-                        0,
-                        4,
-                        null,
-                        null,
-                        false,
-                        false,
-                        true,
-                        "img",
-                        1,
-                        10,
-                        0,
-                        0,
-                        Double.NaN),
-                1,
-                5);
+        return scheduler.addJob(JobSpecBuilder.array("req-1").cpus(2).build(), 1, 5);
     }
 
     /** All machines report what they hold as being in that state. */
--- a/src/test/java/org/hollypick/core/autoscaling/AutoscalerBenchmark.java
+++ b/src/test/java/org/hollypick/core/autoscaling/AutoscalerBenchmark.java
@@ -8,6 +8,7 @@
 import org.hollypick.config.OperatorSettings;
 import org.hollypick.config.Settings;
 import org.hollypick.core.JobSpec;
+import org.hollypick.core.JobSpecBuilder;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.SettingsBuilder;
@@ -72,27 +73,12 @@
     }
 
     private static JobSpec spec(int number) {
-        return new JobSpec(
-                "req-" + number,
-                "batch",
-                "team-" + number % TEAMS,
-                false,
-                JobSpec.Priority.NORMAL,
-                TASKS,
-                1 + number % 4,
-                0,
-                1,
-                null,
-                null,
-                false,
-                false,
-                true,
-                "img",
-                1,
-                60,
-                0,
-                0,
-                Double.NaN);
+        return JobSpecBuilder.array("req-" + number)
+                .team("team-" + number % TEAMS)
+                .tasks(TASKS)
+                .cpus(1 + number % 4)
+                .estimateS(60)
+                .build();
     }
 
     /** One plan. */
--- a/src/test/java/org/hollypick/core/autoscaling/AutoscalerTest.java
+++ b/src/test/java/org/hollypick/core/autoscaling/AutoscalerTest.java
@@ -11,6 +11,7 @@
 import org.hollypick.config.Settings;
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
+import org.hollypick.core.JobSpecBuilder;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.SettingsBuilder;
@@ -403,27 +404,12 @@
                 .build();
         Scheduler few = new Scheduler(5, limited, 0.3, new WorkerLeases(limited, List.of(), 0, true));
         few.addJob(
-                new JobSpec(
-                        "req-1",
-                        "train",
-                        "team",
-                        false,
-                        JobSpec.Priority.NORMAL,
-                        400,
-                        2,
-                        1,
-                        1,
-                        null,
-                        null,
-                        false,
-                        false,
-                        true,
-                        "img",
-                        1,
-                        300,
-                        0,
-                        0,
-                        Double.NaN),
+                JobSpecBuilder.array("req-1")
+                        .tasks(400)
+                        .cpus(2)
+                        .gpus(1)
+                        .estimateS(300)
+                        .build(),
                 1,
                 5);
         Autoscaler autoscaler = new Autoscaler(OperatorSettings.defaults(), true);
--- a/src/test/java/org/hollypick/core/autoscaling/ScaleOutWithinQuotasTest.java
+++ b/src/test/java/org/hollypick/core/autoscaling/ScaleOutWithinQuotasTest.java
@@ -13,6 +13,7 @@
 import org.hollypick.config.Settings;
 import org.hollypick.core.Job;
 import org.hollypick.core.JobSpec;
+import org.hollypick.core.JobSpecBuilder;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.Scheduler;
 import org.hollypick.core.SettingsBuilder;
@@ -145,27 +146,12 @@
 
         private Job addJob(String id) {
             List<String> teams = List.copyOf(limits.keySet());
-            JobSpec spec = new JobSpec(
-                    id,
-                    "batch",
-                    teams.get(random.nextInt(teams.size())),
-                    false,
-                    JobSpec.Priority.NORMAL,
-                    1 + random.nextInt(60),
-                    List.of(1.0, 2.0, 4.0, 5.0, 12.0).get(random.nextInt(5)),
-                    0,
-                    1,
-                    null,
-                    null,
-                    false,
-                    false,
-                    true,
-                    "img",
-                    1,
-                    10 + random.nextInt(110),
-                    0,
-                    0,
-                    Double.NaN);
+            JobSpec spec = JobSpecBuilder.array(id)
+                    .team(teams.get(random.nextInt(teams.size())))
+                    .tasks(1 + random.nextInt(60))
+                    .cpus(List.of(1.0, 2.0, 4.0, 5.0, 12.0).get(random.nextInt(5)))
+                    .estimateS(10 + random.nextInt(110))
+                    .build();
             return scheduler.addJob(spec, 1, 5);
         }
 
