--- a/review/3/Starved.java
+++ b/review/3/Starved.java
@@ -5,38 +5,39 @@
 import java.util.Map;
 
 /**
- * Two machines with a service are sick for 9 s: they fail every task that they start. A job that was submitted meanwhile
+ * Two machines with a service are sick for 8 s: they fail every task that they start. A job that was submitted meanwhile
  * waits afterwards, though both machines are sound and have room for it.
  */
 final class Starved {
-    private static final double SICK_S = 9;
+    private static final double SICK_S = 8;
     private static final double LIMIT_S = 90;
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Wire.openRecord(args[0]);
-        int code = 2;
-        try (Deployment d = new Deployment(Deployment.cardiffHunt(), Deployment.cardiffTypes(), Map.of(
-                Cloud.pool("derw-sixteen", "taf-bay", false), 20,
-                Cloud.pool("derw-sixteen", "menai-hall", false), 20,
-                Cloud.pool("derw-sixteen", "taf-bay", true), 20,
-                Cloud.pool("derw-sixteen", "menai-hall", true), 20), 3)) {
-            for (String hall : List.of("taf-bay", "menai-hall")) {
-                d.cloud.addUp("derw-sixteen", hall, false);
+        Wire.run(args[0], () -> {
+            try (Deployment d = new Deployment(Deployment.cardiffHunt(), Deployment.cardiffTypes(), Map.of(
+                    Cloud.pool("derw-sixteen", "taf-bay", false), 20,
+                    Cloud.pool("derw-sixteen", "menai-hall", false), 20,
+                    Cloud.pool("derw-sixteen", "taf-bay", true), 20,
+                    Cloud.pool("derw-sixteen", "menai-hall", true), 20), 3)) {
+                for (String hall : List.of("taf-bay", "menai-hall")) {
+                    d.cloud.addUp("derw-sixteen", hall, false);
+                }
+                d.startAll();
+                if (!d.awaitReady(10)) {
+                    throw new Wire.CannotRun("the controllers didn't get ready");
+                }
+                return play(d, trouble);
             }
-            d.startAll();
-            code = d.awaitReady(20) ? play(d, trouble) : 2;
-        }
-        Wire.say(code == 0 ? "the rule held" : code == 1 ? "the rule was broken" : "the case couldn't run");
-        System.exit(code);
+        });
     }
 
-    private static int play(Deployment d, boolean trouble) {
+    private static boolean play(Deployment d, boolean trouble) throws Wire.CannotRun {
         ObjectNode service = Deployment.job("req-000001", "receipt-reader", "llyfr-ops", "standing", "prod", 2, 2, 5);
         service.put("spread", true);
         d.submit(service, 0);
-        if (!await(d, "req-000001", 2, 15)) {
-            return 2;
+        if (!await(d, "req-000001", 2, 10)) {
+            throw new Wire.CannotRun("the service doesn't run");
         }
         if (trouble) {
             d.cloud.workers().forEach(w -> w.sick = true);
@@ -46,7 +47,7 @@
         ObjectNode array = Deployment.job("req-000002", "bankfeed-recon", "llyfr-ops", "batch", "standard", 1, 2, 4.6);
         array.put("lendable", true);
         if (d.submit(array, 1).status() != 201) {
-            return 2;
+            throw new Wire.CannotRun("the job wasn't accepted");
         }
         double last = 0;
         while (Wire.now() - began < SICK_S) {
@@ -62,7 +63,7 @@
             String status = answer.body().path("status").asText();
             if (status.equals("done")) {
                 Wire.say("req-000002 is done");
-                return 0;
+                return true;
             }
             for (Worker w : d.cloud.workers()) {
                 if (w.has("req-000002/0")) {
@@ -82,11 +83,11 @@
             }
             if (Wire.now() - waitingSince > LIMIT_S) {
                 Wire.say("req-000002 has waited for more than 90 s while machines that fit have room");
-                return 1;
+                return false;
             }
             Wire.sleep(1);
         }
-        return 0;
+        return true;
     }
 
     private static boolean await(Deployment d, String id, int running, double seconds) {
--- a/review/lib/Deployment.java
+++ b/review/lib/Deployment.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -121,7 +122,12 @@
 
     // ---- processes ----
 
+    private boolean closed;
+
     synchronized void start(int i) throws IOException {
+        if (closed) {
+            return;
+        }
         List<String> full = new ArrayList<>(command);
         full.add(settings.get(i).toString());
         ProcessBuilder builder = new ProcessBuilder(full);
@@ -132,6 +138,14 @@
                 : new File(System.getenv("CONTROLLER_LOG_DIR"), names.get(i) + ".log");
         builder.redirectError(ProcessBuilder.Redirect.appendTo(log));
         processes.set(i, builder.start());
+        String pids = System.getProperty("review.pids");
+        if (pids != null) {
+            Files.writeString(
+                    Path.of(pids),
+                    processes.get(i).pid() + "\n",
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.APPEND);
+        }
         Wire.log(names.get(i) + " started");
     }
 
@@ -188,6 +202,7 @@
 
     @Override
     public synchronized void close() {
+        closed = true;
         for (Process process : processes) {
             if (process != null && process.isAlive()) {
                 process.destroyForcibly();
--- a/review/lib/Wire.java
+++ b/review/lib/Wire.java
@@ -64,6 +64,44 @@
         System.out.printf("%8.3f %s%n", now(), line);
     }
 
+    // ---- the run ----
+
+    /** A case: plays it and returns true if the rule held, false if it was broken. */
+    interface Play {
+        boolean held() throws Exception;
+    }
+
+    /** Thrown if a case couldn't run. */
+    static final class CannotRun extends Exception {
+        CannotRun(String why) {
+            super(why);
+        }
+    }
+
+    private static final int BROKEN = 10;
+    private static final int CANNOT_RUN = 2;
+    private static final double LIMIT_S = 117;
+
+    /** Plays a case and ends this program: with 0 if the rule held, 10 if it was broken, 2 if it couldn't run. */
+    static void run(String recordFile, Play play) {
+        int code = CANNOT_RUN;
+        try {
+            openRecord(recordFile);
+            Thread limit = new Thread(() -> {
+                sleep(LIMIT_S);
+                say("the case couldn't run: its time is over");
+                System.exit(CANNOT_RUN);
+            });
+            limit.setDaemon(true);
+            limit.start();
+            code = play.held() ? 0 : BROKEN;
+            say(code == 0 ? "the rule held" : "the rule was broken");
+        } catch (Exception e) {
+            say("the case couldn't run: " + e);
+        }
+        System.exit(code);
+    }
+
     // ---- servers ----
 
     /** An answer: status and body. */
