Tests for copies of answered requests: ran_twice and ran_cancelled reproduced

Cause: the operators saw a task on two machines at once, and a task of a cancelled job that ran on to its end. The records show a copy of an answered call: it started an attempt once more after the attempt had failed and been cleared.

Change: tests only. RepeatedRequests lets executed and answered requests arrive once more in the simulated world: up to two minutes later, within a second after an agent cleared an attempt, and after an agent's restart.

--- a/src/test/java/org/hollypick/sim/FakeAgent.java
+++ b/src/test/java/org/hollypick/sim/FakeAgent.java
@@ -44,6 +44,11 @@
 
     private boolean isDown;
     private boolean isFaulty;
+    /** Called when an exited attempt was cleared: from then on the agent doesn't know it. */
+    Consumer<FakeAgent> clearListener = agent -> {};
+
+    /** Called when the process is up again after a restart. */
+    Consumer<FakeAgent> restartListener = agent -> {};
     /** Whether commands are executed whatever their fencing token and incarnation, in violation of the protocol. */
     boolean ignoresFencing;
     /** The index of the controller that the next heartbeat is sent to. */
@@ -111,6 +116,11 @@
         return tasks.activeNames().size();
     }
 
+    /** The attempts that were launched, exited, cleared and launched once more by the same process. */
+    List<String> relaunchedAttempts() {
+        return tasks.relaunchedAttempts();
+    }
+
     /** Names of the tasks that haven't exited. */
     List<String> activeTaskNames() {
         return tasks.activeNames();
@@ -184,6 +194,7 @@
                 fencingToken = 0;
             }
             scheduleHeartbeats();
+            restartListener.accept(this);
         });
     }
 
--- a/src/test/java/org/hollypick/sim/FakeAgentTasks.java
+++ b/src/test/java/org/hollypick/sim/FakeAgentTasks.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -46,6 +47,8 @@
     private final SimulatedWorld world;
     private final InvariantChecker checker;
     private final Map<Attempt, Execution> executions = new LinkedHashMap<>();
+    private final Set<Attempt> cleared = new HashSet<>();
+    private final List<String> relaunchedAttempts = new ArrayList<>();
     private final Set<String> images = new HashSet<>();
     /** The verb of the commands that are ignored as if never received; empty for none. */
     private String ignoredVerb = "";
@@ -68,6 +71,11 @@
         reportsFetchingAsRunning = true;
     }
 
+    /** The attempts that were launched again after they were cleared, without a restart in between. */
+    List<String> relaunchedAttempts() {
+        return relaunchedAttempts;
+    }
+
     /** The number of reported tasks, exited ones included. */
     int reportedCount() {
         return executions.size();
@@ -109,6 +117,7 @@
     void loseAll() {
         executions.keySet().forEach(attempt -> checker.tasks.stopped(attempt.task, agent));
         executions.clear();
+        cleared.clear();
     }
 
     /** Ends all tasks at the expiry of the lease. */
@@ -151,8 +160,10 @@
                 }
             }
             case AgentProtocol.CLEAR -> {
-                if (!isActive) {
+                if (execution != null && !isActive) {
                     executions.remove(attempt);
+                    cleared.add(attempt);
+                    agent.clearListener.accept(agent);
                 }
             }
             default -> throw new AssertionError("unknown verb in command " + command);
@@ -160,6 +171,9 @@
     }
 
     private void launch(Attempt attempt) {
+        if (cleared.contains(attempt)) {
+            relaunchedAttempts.add(attempt.task + "@" + attempt.number + " on " + agent.name);
+        }
         Execution execution = new Execution();
         JsonNode spec = checker.tasks.specOf(attempt.task);
         String refusal = refusal(attempt, spec);
--- /dev/null
+++ b/src/test/java/org/hollypick/sim/RepeatedRequestsTest.java
@@ -0,0 +1,133 @@
+package org.hollypick.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Requests that were executed and answered arrive once more, up to two minutes later: soon after an agent cleared an
+ * attempt, around restarts and at random. More random scenarios: {@code mvn test -Dtest=RepeatedRequestsTest
+ * -Drepeated-requests.days=3000}.
+ */
+class RepeatedRequestsTest {
+    /** Number of random scenarios of each test. */
+    private static final int SCENARIOS = Integer.getInteger("repeated-requests.days", 20);
+
+    private static final int FIRST_SEED = Integer.getInteger("repeated-requests.first", 1);
+    private static final long FAULTS_END_AT_MS = 160_000;
+
+    /** What happens in a scenario besides the copies. */
+    private enum Disruption {
+        NONE,
+        FAULTY_MACHINES,
+        LEADER_CRASHES,
+        LOST_LEASES,
+        AGENT_RESTARTS,
+        AGENT_RESTARTS_WITHOUT_STATE
+    }
+
+    /** A scenario with short tasks, half of them cancelled, in which every clear is followed by copies of launches. */
+    private static ClusterScenario runWithCopiesAfterClears(
+            int seed, Disruption disruption, Consumer<FakeAgent> alteration) {
+        ClusterScenario scenario = new ClusterScenario(seed);
+        scenario.users.cancelOneIn = 2;
+        RepeatedRequests copies = new RepeatedRequests(scenario.world, seed);
+        copies.probabilityAfterClear = 1;
+        copies.probabilityAfterRestart = 1;
+        scenario.cloud.bootListener = agent -> {
+            copies.observe(agent);
+            alteration.accept(agent);
+        };
+        scenario.advance(5_000);
+        scenario.workload.submitUncancelledServices(2);
+        scenario.workload.durationFactor = 0.5;
+        scenario.workload.submitBatchJobs(30, 90_000);
+        for (long atMs = 20_000; atMs < 90_000; atMs += 14_000) {
+            scenario.world.schedule(atMs, () -> disrupt(scenario, disruption));
+        }
+        scenario.advance(200_000);
+        assertTrue(copies.deliveredCopies > 0, "seed " + seed + ": no copy was delivered");
+        return scenario;
+    }
+
+    private static void disrupt(ClusterScenario scenario, Disruption disruption) {
+        List<FakeAgent> agents = scenario.cloud.agents().stream()
+                .filter(agent -> scenario.world.random.nextInt(3) == 0)
+                .toList();
+        switch (disruption) {
+            case FAULTY_MACHINES -> agents.forEach(FakeAgent::makeFaulty);
+            case LEADER_CRASHES -> scenario.faults.crash(scenario.leaderIndexOrFirst(), 200);
+            case LOST_LEASES -> agents.forEach(agent -> scenario.network.isolate(agent, scenario.agentLeaseMs + 1_000));
+            case AGENT_RESTARTS -> agents.forEach(agent -> agent.restart(200, false));
+            case AGENT_RESTARTS_WITHOUT_STATE -> agents.forEach(agent -> agent.restart(200, true));
+            default -> {}
+        }
+    }
+
+    private static List<String> relaunchedAttempts(ClusterScenario scenario) {
+        return scenario.cloud.agents().stream()
+                .flatMap(agent -> agent.relaunchedAttempts().stream())
+                .toList();
+    }
+
+    @Test
+    @Tag("known-red")
+    void copyOfAnAnsweredLaunchDoesNotStartAClearedAttemptAgain() {
+        Map<String, List<String>> failures = new TreeMap<>();
+        for (Disruption disruption : Disruption.values()) {
+            for (int seed = FIRST_SEED; seed < FIRST_SEED + SCENARIOS; seed++) {
+                ClusterScenario scenario = runWithCopiesAfterClears(seed, disruption, agent -> {});
+                List<String> found = new ArrayList<>(scenario.checker.violations);
+                found.addAll(relaunchedAttempts(scenario));
+                found.addAll(scenario.checker.tasks.startsAfterCancellation);
+                if (!found.isEmpty()) {
+                    failures.put(disruption + " seed " + seed, found);
+                }
+            }
+        }
+        assertEquals(Map.of(), failures);
+    }
+
+    @Test
+    void checkerDetectsAgentsThatExecuteCopiesOfFencedLaunches() {
+        assertTrue(
+                runWithCopiesAfterClears(1, Disruption.NONE, agent -> agent.ignoresFencing = true)
+                        .checker
+                        .violations
+                        .stream()
+                        .anyMatch(violation ->
+                                violation.startsWith("ran_twice") || violation.startsWith("ran_cancelled")));
+    }
+
+    @Test
+    @Tag("known-red")
+    void copiesOfAnsweredRequestsOfEveryKindViolateNoInvariant() {
+        Map<Integer, List<String>> violationsBySeed = new TreeMap<>();
+        int copies = 0;
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + 2 * SCENARIOS; seed++) {
+            ClusterScenario scenario = new ClusterScenario(seed);
+            RepeatedRequests repeated = new RepeatedRequests(scenario.world, seed);
+            repeated.probability = 0.05;
+            repeated.probabilityAfterClear = 0.3;
+            repeated.probabilityAfterRestart = 0.5;
+            scenario.cloud.bootListener = repeated::observe;
+            scenario.users.cancelOneIn = 2;
+            scenario.workload.submitJobs(25, 120_000);
+            scenario.randomFaults.scheduleFaults(8, 20_000, 150_000);
+            scenario.advance(FAULTS_END_AT_MS + 120_000);
+            copies += repeated.deliveredCopies;
+            if (!scenario.checker.violations.isEmpty()) {
+                violationsBySeed.put(seed, scenario.checker.violations);
+            }
+        }
+        assertEquals(Map.of(), violationsBySeed);
+        assertTrue(copies > 100 * SCENARIOS, "only " + copies + " copies");
+    }
+}
--- a/src/test/java/org/hollypick/sim/SimulatedWorld.java
+++ b/src/test/java/org/hollypick/sim/SimulatedWorld.java
@@ -115,6 +115,8 @@
     private String digest;
     /** Called with the sender and the request when a controller sends one. */
     BiConsumer<String, Request> requestObserver = (from, request) -> {};
+    /** Called with each request and the response to it, when the receiver has executed the request. */
+    BiConsumer<Request, Response> responseObserver = (request, response) -> {};
 
     private final Hasher digestHasher = Hashing.murmur3_128().newHasher();
 
@@ -335,6 +337,7 @@
                             .putLong(now)
                             .putInt(response.status())
                             .putString(request.address() + response.body(), StandardCharsets.UTF_8);
+                    responseObserver.accept(request, response);
                     if (!isResponseLost && !losesResponse.test(request)) {
                         sendResponse(from, request, response, callback);
                     }
