Clear an attempt only under a token that makes its agent refuse copies of the launch

What callers saw: a task ran on two machines at once (ran_twice), and a task of a cancelled job started again (ran_cancelled). A copy of a direct call, executed and answered 2.4 s before, reached the agent 0.14 s after it had cleared the failed attempt, and started it once more.

Cause: a right that had lapsed in the leader's view only. An answered call counted as ended, so nothing was held to be able to launch the attempt; but a copy of the call is executed as long as token and incarnation match, and an agent recognizes an attempt only until it has cleared it. A pause before the clear doesn't help: copies come minutes later.

Change: a leader sends commands under newer tokens of its own term: any revision of the store at which its leader record was in force lies between the tokens of earlier and of later leaders (CommandTokens). An attempt that a direct call may have launched is cleared only in a message with a newer token than that call's, which the agent has then seen; the response to a heartbeat raises the machine's token where none is newer. A task that an agent no longer lists without a clear counts until a list made under a newer token lacks it. The tokens cost no write: the store's revision changes by itself; if it doesn't, one small record is written. From 400 exited attempts on a machine gets no tasks. Each command's token, state and route are logged at debug (command.sent).

--- a/src/main/java/org/hollypick/TermSupervisor.java
+++ b/src/main/java/org/hollypick/TermSupervisor.java
@@ -168,6 +168,11 @@
         return term != null && term.scheduler().leases().allPeersRequestedGrants();
     }
 
+    @Override
+    public long newestCommandToken() {
+        return term == null ? 0 : term.scheduler().commandTokens().announced();
+    }
+
     @Override
     public void leasesRenewedWithoutLeaderLease(long now) {
         if (term != null) {
--- a/src/main/java/org/hollypick/agent/AgentResponse.java
+++ b/src/main/java/org/hollypick/agent/AgentResponse.java
@@ -1,5 +1,6 @@
 package org.hollypick.agent;
 
+import org.hollypick.core.assignment.CallOutcome;
 import org.hollypick.core.assignment.Heartbeat;
 import org.hollypick.io.Response;
 
@@ -62,8 +63,12 @@
         return outcome == Outcome.ACKNOWLEDGED || outcome == Outcome.REJECTED || outcome == Outcome.ERROR;
     }
 
-    /** Whether no command of the call can still be executed later. */
-    public boolean isSettled() {
-        return outcome != Outcome.ERROR && outcome != Outcome.NO_RESPONSE;
+    /** Whether the commands of the call were executed. */
+    public CallOutcome callOutcome() {
+        return switch (outcome) {
+            case ACKNOWLEDGED -> status == STATUS_OK ? CallOutcome.EXECUTED : CallOutcome.NOT_EXECUTED;
+            case REJECTED, NOT_SENT, NO_CAPACITY -> CallOutcome.NOT_EXECUTED;
+            case ERROR, NO_RESPONSE -> CallOutcome.UNKNOWN;
+        };
     }
 }
--- a/src/main/java/org/hollypick/cluster/PartitionedLeaseRenewal.java
+++ b/src/main/java/org/hollypick/cluster/PartitionedLeaseRenewal.java
@@ -47,6 +47,9 @@
          * lease.
          */
         void leasesRenewedWithoutLeaderLease(long now);
+
+        /** Returns the newest fencing token that agents may have seen from this controller's term; 0 without a term. */
+        long newestCommandToken();
     }
 
     private final EventLoop eventLoop;
@@ -59,6 +62,9 @@
 
     private long grantedToken;
     private long grantedUntil;
+    /** The newest token that agents may have seen from the leader whose token is {@link #lastGrantToken}. */
+    private long leaderCommandToken;
+
     private long leaderRespondedAt;
     /**
      * The number of the newest response, and the fencing token of the leader that sent it: leaders number their own
@@ -130,6 +136,7 @@
         leaderRespondedAt = eventLoop.now();
         lastGrantNumber = grant.number();
         lastGrantToken = token;
+        leaderCommandToken = grant.newestCommandToken();
         acknowledgedRenewals = Math.max(acknowledgedRenewals, reportedRenewals);
         if (grant.granted()) {
             grantedToken = token;
@@ -172,13 +179,15 @@
     /**
      * Returns the response to a heartbeat that no leader answers. The response is sent only while the grant is valid.
      *
-     * @return null if the agent has received a newer fencing token, since it would reject the response
+     * @return null if the agent has received the fencing token of a newer leader, since it would reject the response
      */
     public ServerResponse respond(Heartbeat heartbeat) {
-        long token = membership.leaderRecordRevision();
-        if (Long.compareUnsigned(heartbeat.token(), token) > 0) {
+        long leaderToken = membership.leaderRecordRevision();
+        boolean seenNewerToken = Long.compareUnsigned(heartbeat.token(), leaderToken) > 0;
+        if (seenNewerToken && Long.compareUnsigned(heartbeat.token(), newestCommandToken(leaderToken)) > 0) {
             return null;
         }
+        long token = seenNewerToken ? heartbeat.token() : leaderToken;
         renewals++;
         if (membership.fencingToken() != 0) {
             term.leasesRenewedWithoutLeaderLease(eventLoop.now());
@@ -187,6 +196,14 @@
                 .onlyWhile(this::holdsGrant);
     }
 
+    /** The newest token that agents may have seen from the leader whose record this controller's replica shows. */
+    private long newestCommandToken(long leaderToken) {
+        if (membership.fencingToken() != 0) {
+            return term.newestCommandToken();
+        }
+        return lastGrantToken == leaderToken ? leaderCommandToken : leaderToken;
+    }
+
     private List<Command> killCancelled(Heartbeat heartbeat) {
         List<Command> commands = new ArrayList<>();
         for (TaskStatus status : heartbeat.tasks()) {
--- a/src/main/java/org/hollypick/cluster/PeerMessageCodec.java
+++ b/src/main/java/org/hollypick/cluster/PeerMessageCodec.java
@@ -55,6 +55,8 @@
     private static final String GRANT_NUMBER = "number";
     /** Whether permission to renew leases is granted. */
     private static final String RENEWAL_GRANTED = "granted";
+    /** The newest fencing token that agents may have seen; absent in responses of older versions. */
+    private static final String NEWEST_COMMAND_TOKEN = "command_token";
     /** The address of each machine to probe, by the machine's name. */
     private static final String MACHINES = "machines";
     /** The machines that responded. */
@@ -145,7 +147,8 @@
         return Codec.object()
                 .put(WireNames.FENCING_TOKEN, response.token())
                 .put(GRANT_NUMBER, response.number())
-                .put(RENEWAL_GRANTED, response.granted());
+                .put(RENEWAL_GRANTED, response.granted())
+                .put(NEWEST_COMMAND_TOKEN, response.newestCommandToken());
     }
 
     /** Decodes the response to a request for permission to renew agents' leases. */
@@ -153,7 +156,8 @@
         return new RenewalGrantResponse(
                 Codec.u64(body.path(WireNames.FENCING_TOKEN)),
                 Codec.u64(body.path(GRANT_NUMBER)),
-                body.path(RENEWAL_GRANTED).asBoolean());
+                body.path(RENEWAL_GRANTED).asBoolean(),
+                Codec.u64(body.path(NEWEST_COMMAND_TOKEN)));
     }
 
     /** Encodes a request for the machines that a peer reaches. */
--- a/src/main/java/org/hollypick/cluster/PeerMessages.java
+++ b/src/main/java/org/hollypick/cluster/PeerMessages.java
@@ -54,8 +54,10 @@
      * @param number the sequence number of the response among all responses of this leader in its term
      * @param granted whether the requesting controller may renew leases, for a limited time counted from when it sent
      *     the request
+     * @param newestCommandToken the newest token that agents may have seen from this leader; {@code token} or 0 if it
+     *     uses no other one
      */
-    public record RenewalGrantResponse(long token, long number, boolean granted) {}
+    public record RenewalGrantResponse(long token, long number, boolean granted, long newestCommandToken) {}
 
     /**
      * A request for the machines that a peer reaches.
--- a/src/main/java/org/hollypick/cluster/StoreKeys.java
+++ b/src/main/java/org/hollypick/cluster/StoreKeys.java
@@ -34,6 +34,9 @@
     /** The prefix of the graph logs. Like the dependencies, they sort after the job records. */
     public static final String GRAPH_LOG = "h/x/";
 
+    /** The prefix of the records that are written only to change the store's revision. */
+    private static final String COMMAND_TOKENS = "h/t/";
+
     /** The prefix of the member records. */
     private static final String MEMBER = "h/n/";
 
@@ -105,6 +108,11 @@
         return ATTAINED_SERVICE + controller;
     }
 
+    /** Returns the key of the record that a leader writes when it needs a newer fencing token for its commands. */
+    public static String commandToken(String controller) {
+        return COMMAND_TOKENS + controller;
+    }
+
     private static String singleUseKey(String owner, long revision, long count) {
         return owner + "/" + Long.toUnsignedString(revision) + "/" + count;
     }
--- a/src/main/java/org/hollypick/control/LeaderTerm.java
+++ b/src/main/java/org/hollypick/control/LeaderTerm.java
@@ -146,7 +146,8 @@
         boolean granted = leases.allPeersRequestedGrants()
                 && components.jobTermination.replicaShowsAllCancellations(request.appliedRevision());
         long number = leases.responseSent(request.controller(), granted, now);
-        RenewalGrantResponse response = new RenewalGrantResponse(token(), number, granted);
+        RenewalGrantResponse response = new RenewalGrantResponse(
+                token(), number, granted, scheduler().commandTokens().announced());
         return ServerResponse.of(200, PeerMessageCodec.write(response)).onlyWhile(this::holdsLeaderLease);
     }
 
--- a/src/main/java/org/hollypick/control/ReconcileLoop.java
+++ b/src/main/java/org/hollypick/control/ReconcileLoop.java
@@ -28,6 +28,7 @@
     private final TermComponents components;
     private final Scheduler scheduler;
     private final ResignationPolicy resignationPolicy;
+    private final CommandTokenAdvancer commandTokenAdvancer;
     private final BooleanSupplier holdsLeaderLease;
 
     private final IntervalTimer fullCycleTimer =
@@ -51,6 +52,7 @@
         this.components = components;
         this.scheduler = components.scheduler;
         this.holdsLeaderLease = holdsLeaderLease;
+        this.commandTokenAdvancer = new CommandTokenAdvancer(context, scheduler.commandTokens(), components.token);
         this.resignationPolicy = new ResignationPolicy(
                 components.token, eventLoop, membership, components.agentManager.failureDetector(), holdsLeaderLease);
         this.lastIterationAt = eventLoop.now() - ReconcileConstants.RECONCILE_INTERVAL_MS;
@@ -74,6 +76,7 @@
         recordLateness(now);
         logLeaseSource(now);
         if (holdsLeaderLease.getAsBoolean()) {
+            commandTokenAdvancer.advanceIfDue(now);
             reconcileMachines(now);
             runPeriodicTasks(now);
             requestReconcile();
--- a/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
+++ b/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
@@ -39,6 +39,7 @@
      * @param knownSequence the newest sequence number received from the machine at the time of sending; empty if there
      *     was none
      * @param toUnresponsive whether the machine was unresponsive at the time of sending
+     * @param token the fencing token that the call carries
      * @param startedAt when the call was sent, in milliseconds
      */
     private record DirectCall(
@@ -46,6 +47,7 @@
             List<Command> commands,
             long incarnation,
             OptionalLong knownSequence,
+            long token,
             boolean toUnresponsive,
             long startedAt) {}
 
@@ -99,13 +101,15 @@
                 commands,
                 known ? machine.incarnation() : FIRST_INCARNATION,
                 known ? OptionalLong.of(machine.heartbeatSequence()) : OptionalLong.empty(),
+                machine.commandToken(),
                 toUnresponsive,
                 term.now());
         scheduler.commands().sentDirectly(machine, commands);
+        CommandLog.commandsSent(machine, commands, CommandLog.Route.DIRECT_CALL);
         limiter.callStarted(toUnresponsive);
         agentClient.sendCommands(
                 machine.address(),
-                scheduler.token(),
+                call.token(),
                 call.incarnation(),
                 commands,
                 term.leaderLeaseHeld(),
@@ -131,7 +135,7 @@
         limiter.callCompleted(call.toUnresponsive(), response, now - call.startedAt(), now);
         scheduler
                 .commands()
-                .directCallCompleted(call.machine(), call.commands(), call.incarnation(), response.isSettled());
+                .directCallCompleted(call.machine(), call.commands(), call.incarnation(), response.callOutcome());
         if (response.outcome() == AgentResponse.Outcome.ACKNOWLEDGED) {
             applyAcknowledgement(call, response.heartbeat());
         } else {
@@ -161,7 +165,7 @@
         Machine machine = call.machine();
         if (heartbeat == null
                 || scheduler.machine(machine.id) != machine
-                || Long.compareUnsigned(heartbeat.token(), scheduler.token()) > 0) {
+                || scheduler.commandTokens().isOfLaterTerm(heartbeat.token())) {
             return;
         }
         long now = term.now();
--- a/src/main/java/org/hollypick/control/machines/HeartbeatHandler.java
+++ b/src/main/java/org/hollypick/control/machines/HeartbeatHandler.java
@@ -44,8 +44,7 @@
 
     /** Handles a heartbeat that the controller {@code relay} received from the agent. */
     ServerResponse handle(Heartbeat heartbeat, String relay) {
-        if (Long.compareUnsigned(heartbeat.token(), scheduler.token()) > 0
-                || scheduler.isTerminated(heartbeat.machine())) {
+        if (scheduler.commandTokens().isOfLaterTerm(heartbeat.token()) || scheduler.isTerminated(heartbeat.machine())) {
             return ServerResponse.retryLater(REJECTED_TERMINATED_OR_NEWER_TERM);
         }
         long now = term.now();
@@ -123,6 +122,7 @@
         if (scheduler.outbox().takeFreedCapacity(machine)) {
             scheduler.scheduleOn(machine, now);
         }
+        scheduler.commands().raiseTokenIfNeeded(machine);
         List<Command> commands =
                 CommandDispatcher.limitToOneMessage(scheduler.commands().pendingCommands(machine));
         if (isNew) {
@@ -151,7 +151,7 @@
     private void updateValidity(
             Machine machine, Heartbeat heartbeat, boolean newIncarnation, List<Command> commands, long now) {
         boolean wasUnreachable = machine.validity.isUnreachableInbound();
-        boolean seenThisToken = heartbeat.token() == scheduler.token();
+        boolean seenThisToken = scheduler.commandTokens().isOfThisTerm(heartbeat.token());
         if (newIncarnation
                 && machine.heartbeatAcknowledgedAt() > 0
                 && scheduler.leases().isValid(machine.heartbeatAcknowledgedAt(), now)) {
@@ -188,11 +188,12 @@
         machine.acknowledgeHeartbeat(machine.validity.newestReceivedAt());
         machine.validity.responseSent(commands);
         scheduler.commands().sentInHeartbeatResponse(machine, commands);
+        CommandLog.commandsSent(machine, commands, CommandLog.Route.HEARTBEAT_RESPONSE);
         if (machine.reconciled()) {
             scheduler.outbox().commandsDelivered(machine);
         }
         term.requestReconcile();
-        return ServerResponse.of(200, AgentCodec.encodeCommands(scheduler.token(), commands))
+        return ServerResponse.of(200, AgentCodec.encodeCommands(machine.commandToken(), commands))
                 .onlyWhile(term.leaderLeaseHeld());
     }
 }
--- a/src/main/java/org/hollypick/core/CommandTracker.java
+++ b/src/main/java/org/hollypick/core/CommandTracker.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.hollypick.core.assignment.Assignment;
 import org.hollypick.core.assignment.Assignment.State;
+import org.hollypick.core.assignment.CallOutcome;
 import org.hollypick.core.assignment.Command;
 import org.hollypick.core.assignment.Command.Verb;
 import org.hollypick.core.assignment.Machine;
@@ -17,7 +18,25 @@
     /** The grace period of kills that take effect at once, and of launches and clears, which have none. */
     private static final double NO_GRACE_S = 0;
 
-    CommandTracker() {}
+    private final CommandTokens tokens;
+
+    CommandTracker(CommandTokens tokens) {
+        this.tokens = tokens;
+    }
+
+    /**
+     * Raises the fencing token of the machine's messages, if only a newer one allows exited attempts to be cleared. To
+     * be called before the response to a heartbeat is composed. A direct call in flight would be refused under the
+     * newer token, so the next heartbeat is awaited then.
+     */
+    public void raiseTokenIfNeeded(Machine machine) {
+        if (machine.directCalls.directCallInFlight() || !machine.needsNewerToken()) {
+            return;
+        }
+        if (!machine.raiseCommandToken(tokens.usable())) {
+            tokens.requestNewer();
+        }
+    }
 
     /**
      * Returns the commands that bring the tasks that the machine reported in line with its assignments. Kills come
@@ -29,7 +48,7 @@
         for (TaskStatus status : machine.reportedTasks()) {
             Assignment assignment = machine.assignmentOf(status.task(), status.attempt());
             if (status.state() == State.EXITED) {
-                if (assignment == null || assignment.mayBeCleared()) {
+                if (assignment == null || assignment.mayBeCleared(machine.commandToken())) {
                     clears.add(new Command(Verb.CLEAR, status.task(), status.attempt(), NO_GRACE_S));
                 }
             } else if (assignment == null) {
@@ -77,7 +96,7 @@
         for (Command command : commands) {
             Assignment assignment = assignmentToLaunch(command, machine);
             if (assignment != null) {
-                assignment.launchSentDirectly();
+                assignment.launchSentDirectly(machine.commandToken());
             }
         }
     }
@@ -85,16 +104,15 @@
     /**
      * Records the end of a direct call.
      *
-     * @param incarnation the agent's incarnation that the call was addressed to
-     * @param settled whether the commands were executed, refused or never sent; otherwise they may be executed later
+     * @param incarnation the agent's incarnation that the call was addressed to; a later one refuses the commands
      */
-    public void directCallCompleted(Machine machine, List<Command> commands, long incarnation, boolean settled) {
+    public void directCallCompleted(Machine machine, List<Command> commands, long incarnation, CallOutcome outcome) {
         machine.directCalls.endDirectCall();
-        boolean mayExecuteLate = !settled && machine.incarnation() == incarnation;
+        CallOutcome known = machine.incarnation() == incarnation ? outcome : CallOutcome.NOT_EXECUTED;
         for (Command command : commands) {
             Assignment assignment = assignmentToLaunch(command, machine);
             if (assignment != null) {
-                assignment.directLaunchCompleted(mayExecuteLate);
+                assignment.directLaunchCompleted(known);
             }
         }
     }
@@ -107,12 +125,15 @@
     /**
      * Whether a launch that this leader sent may still start a task of this job: the launch is in flight, or may be
      * executed late, or the machine that executed it still pulls the image. Even an unreachable machine starts the task
-     * once it has the image, as long as its lease lasts.
+     * once it has the image, as long as its lease lasts. A machine that lost the task with its agent's process starts
+     * it because of a copy of the launch.
      */
     public boolean launchMayStillExecute(Job job) {
         for (Assignment assignment : job.assignments.values()) {
             boolean launchPending = assignment.state() == State.LAUNCHING && assignment.launchMayStillExecute();
-            if (assignment.state() == State.PULLING_IMAGE || launchPending) {
+            if (assignment.state() == State.PULLING_IMAGE
+                    || launchPending
+                    || assignment.machine.mayBeLaunchedByCopy(assignment)) {
                 return true;
             }
         }
--- a/src/main/java/org/hollypick/core/HeartbeatProcessor.java
+++ b/src/main/java/org/hollypick/core/HeartbeatProcessor.java
@@ -95,7 +95,7 @@
     private void applyListedTask(Assignment assignment, TaskStatus status, Heartbeat heartbeat, long now) {
         assignment.machine.markListed(assignment, now);
         assignments.update(assignment, status, now);
-        if (heartbeat.token() == scheduler.token()
+        if (scheduler.commandTokens().isOfThisTerm(heartbeat.token())
                 && assignment.mayExist()
                 && AttemptNumbers.tokenOf(assignment.attempt) != scheduler.token()
                 && !scheduler.reconciliationWasComplete()) {
@@ -106,7 +106,8 @@
     private void removeUnlistedAssignments(Machine machine) {
         for (Assignment assignment : machine.unlistedAssignments()) {
             boolean launchCancelled = assignment.stopRequested() && !assignment.launchMayStillExecute();
-            if (assignment.state() != State.LAUNCHING || launchCancelled) {
+            boolean gone = assignment.state() != State.LAUNCHING || launchCancelled;
+            if (gone && !machine.mayBeLaunchedByCopy(assignment)) {
                 assignments.remove(assignment);
             }
         }
@@ -117,7 +118,8 @@
      * final: from then on the agent refuses direct commands with older tokens.
      */
     private void reconcileIfUnderToken(Machine machine, Heartbeat heartbeat) {
-        if (heartbeat.token() == scheduler.token() && !(machine.reconciled() && machine.confirmedLive())) {
+        if (scheduler.commandTokens().isOfThisTerm(heartbeat.token())
+                && !(machine.reconciled() && machine.confirmedLive())) {
             machine.markReconciled();
             confirmLive(machine);
         }
@@ -145,7 +147,7 @@
             }
         }
         for (Assignment assignment : machine.unlistedAssignments()) {
-            if (!assignment.launchMayStillExecute()) {
+            if (!assignment.launchMayStillExecute() && !machine.mayBeLaunchedByCopy(assignment)) {
                 assignments.remove(assignment);
             }
         }
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -28,7 +28,8 @@
     private final AssignmentTable assignments;
     private final HeartbeatProcessor heartbeats;
     private final UnexplainedAttempts unexplainedAttempts = new UnexplainedAttempts();
-    private final CommandTracker commands = new CommandTracker();
+    private final CommandTokens commandTokens;
+    private final CommandTracker commands;
     private final SchedulingCycle cycle;
     private final ArrivalCounter arrivals = new ArrivalCounter();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -53,6 +54,8 @@
     public Scheduler(
             long token, Settings settings, double firstPartitionShare, WorkerLeases leases, boolean learnsRuntimes) {
         this.token = token;
+        this.commandTokens = new CommandTokens(token);
+        this.commands = new CommandTracker(commandTokens);
         this.leases = leases;
         this.estimates = new Estimates(learnsRuntimes);
         this.heartbeatBalancer = new HeartbeatBalancer(settings.node(), leases.termStartedAt());
@@ -69,6 +72,11 @@
         return token;
     }
 
+    /** The fencing tokens under which commands may be sent in this term. */
+    public CommandTokens commandTokens() {
+        return commandTokens;
+    }
+
     /** Decides when an agent's lease has certainly expired. */
     public WorkerLeases leases() {
         return leases;
@@ -293,6 +301,7 @@
      */
     public Machine addMachine(String id, MachineType type, String zone, boolean spot, boolean registered, long now) {
         Machine machine = new Machine(id, type, zone, spot, now);
+        machine.raiseCommandToken(token);
         if (registered) {
             machine.markRegistered();
         } else {
--- a/src/main/java/org/hollypick/core/assignment/Assignment.java
+++ b/src/main/java/org/hollypick/core/assignment/Assignment.java
@@ -45,6 +45,14 @@
     private boolean surplus;
     private boolean directLaunchUnacknowledged;
     private boolean directLaunchInFlight;
+    /** The fencing token of the direct call in flight; meaningless unless {@link #directLaunchInFlight}. */
+    private long inFlightToken;
+    /**
+     * The newest fencing token under which a direct call with the launch may have been executed; 0 if none may. A copy
+     * of the call may arrive at any time, and starts the attempt on an agent that has cleared it.
+     */
+    private long directLaunchToken;
+
     private boolean launchInHeartbeatResponse;
     /** The number of the machine's last task list that contained this attempt; 0 if none has. */
     long lastListedIn;
@@ -145,9 +153,31 @@
         removable = true;
     }
 
-    /** Whether a clear command, which removes the exited attempt from the agent's task list, may be sent. */
-    public boolean mayBeCleared() {
-        return removable && !launchMayStillExecute();
+    /**
+     * Whether a clear command, which removes the exited attempt from the agent's task list, may be sent.
+     *
+     * @param token the fencing token of the message with the command
+     */
+    public boolean mayBeCleared(long token) {
+        return removable && !directLaunchInFlight && !launchInHeartbeatResponse && !copyMayLaunchUnder(token);
+    }
+
+    /** The newest fencing token under which a direct call may have launched the attempt; 0 if none may have. */
+    public long directLaunchToken() {
+        return directLaunchToken;
+    }
+
+    /** Whether the exited attempt can be cleared only under a newer fencing token than this one. */
+    boolean needsNewerTokenToBeCleared(long token) {
+        return removable && !mayExist() && copyMayLaunchUnder(token);
+    }
+
+    /**
+     * Whether an agent that has seen this fencing token, and none newer, would execute a copy of a direct call that
+     * launched the attempt.
+     */
+    public boolean copyMayLaunchUnder(long token) {
+        return directLaunchToken != 0 && Long.compareUnsigned(token, directLaunchToken) <= 0;
     }
 
     /** Records that the attempt runs although it isn't its task's attempt: it only has to stop. */
@@ -172,20 +202,19 @@
         launchInHeartbeatResponse = false;
     }
 
-    /** Records that the launch is sent in a direct call. */
-    public void launchSentDirectly() {
+    /** Records that the launch is sent in a direct call under this fencing token. */
+    public void launchSentDirectly(long token) {
         directLaunchInFlight = true;
+        inFlightToken = token;
     }
 
-    /**
-     * Records that the direct call has ended.
-     *
-     * @param mayExecuteLate whether the agent may still execute the launch: the outcome of the call is unknown and the
-     *     agent's incarnation hasn't ended
-     */
-    public void directLaunchCompleted(boolean mayExecuteLate) {
+    /** Records that the direct call has ended, and whether the agent executed the launch. */
+    public void directLaunchCompleted(CallOutcome outcome) {
         directLaunchInFlight = false;
-        directLaunchUnacknowledged |= mayExecuteLate;
+        directLaunchUnacknowledged |= outcome == CallOutcome.UNKNOWN;
+        if (outcome != CallOutcome.NOT_EXECUTED) {
+            directLaunchToken = inFlightToken;
+        }
     }
 
     /**
--- a/src/main/java/org/hollypick/core/assignment/Machine.java
+++ b/src/main/java/org/hollypick/core/assignment/Machine.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
 import java.util.List;
+import org.hollypick.config.constants.CommandTokenConstants;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.health.HeartbeatValidity;
@@ -55,6 +56,8 @@
      * the agent restarted.
      */
     private long seenToken;
+    /** The fencing token of the messages to the agent. It only increases. */
+    private long commandToken;
     /** Heartbeats of incarnations before this one are outdated. */
     private long minIncarnation;
 
@@ -203,6 +206,43 @@
         return heartbeatAcknowledgedAt;
     }
 
+    // ---- fencing token ----
+
+    /** The fencing token of the messages to the agent: the term's own, or a newer one of the same term. */
+    public long commandToken() {
+        return commandToken;
+    }
+
+    /** The newest fencing token that the agent has reported. */
+    public long seenToken() {
+        return seenToken;
+    }
+
+    /** Raises the fencing token of the messages to the agent; returns whether it became newer. */
+    public boolean raiseCommandToken(long token) {
+        boolean newer = Long.compareUnsigned(token, commandToken) > 0;
+        if (newer) {
+            commandToken = token;
+        }
+        return newer;
+    }
+
+    /**
+     * Whether copies of direct calls have to be fenced off by a newer token than {@link #commandToken}: before exited
+     * attempts are cleared, and before tasks that the agent no longer lists count as gone.
+     */
+    public boolean needsNewerToken() {
+        for (Assignment assignment : assignments.values()) {
+            boolean awaitsLaunch = assignment.state() == Assignment.State.LAUNCHING && !assignment.stopRequested();
+            boolean unlisted = !awaitsLaunch && !isListed(assignment);
+            if (assignment.needsNewerTokenToBeCleared(commandToken)
+                    || (unlisted && assignment.copyMayLaunchUnder(commandToken))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // ---- scheduling and autoscaling ----
 
     /** Whether the machine is in the first Tyrex partition. */
@@ -471,13 +511,22 @@
     public List<Assignment> unlistedAssignments() {
         List<Assignment> list = new ArrayList<>();
         for (Assignment assignment : assignments.values()) {
-            if (assignment.lastListedIn != taskListNumber) {
+            if (!isListed(assignment)) {
                 list.add(assignment);
             }
         }
         return list;
     }
 
+    private boolean isListed(Assignment assignment) {
+        return assignment.lastListedIn == taskListNumber;
+    }
+
+    /** Whether a copy of a direct call may start the attempt, which the agent doesn't list now. */
+    public boolean mayBeLaunchedByCopy(Assignment assignment) {
+        return !isListed(assignment) && assignment.copyMayLaunchUnder(seenToken);
+    }
+
     // ---- resources ----
 
     /** Counts the assignment's resources as used again: its attempt was started once more after its exit. */
@@ -540,7 +589,8 @@
                 && !draining
                 && !scalingIn
                 && !faults.isQuarantined()
-                && !evicting;
+                && !evicting
+                && assignments.size() - liveAssignments < CommandTokenConstants.MAX_EXITED_ATTEMPTS_PER_MACHINE;
     }
 
     /** Whether no assignment may exist on the machine. */
