--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** A stand-in of one machine with its worker, as PROTOCOL describes it. Times are in seconds of {@link Wire#now}. */
 final class Worker {
@@ -55,6 +56,8 @@
     volatile boolean sick;
     /** Run time of a batch task that completes; a job's expect_s if negative. */
     volatile double runS = -1;
+    /** Called with each direct call that was carried out. */
+    volatile Consumer<JsonNode> onCall = call -> {};
     /** Counts of starts by shard. */
     final Map<String, Integer> starts = new HashMap<>();
 
@@ -118,6 +121,19 @@
         return tasks.values().stream().anyMatch(t -> t.shard.equals(shard) && !t.status.equals("exited"));
     }
 
+    /** Whether the machine lists the attempt, in any state. */
+    synchronized boolean knows(String shard, long attempt) {
+        return tasks.containsKey(shard + "#" + attempt);
+    }
+
+    /** The shards that run on the machine: those that have their image and haven't exited. */
+    synchronized List<String> running() {
+        return tasks.values().stream()
+                .filter(t -> t.status.equals("running") || t.status.equals("saving"))
+                .map(t -> t.shard)
+                .toList();
+    }
+
     synchronized double freeCores() {
         return type.path("cores").asDouble() - used("cores");
     }
@@ -242,6 +258,7 @@
             changed = true;
         }
         body.path("orders").forEach(this::execute);
+        onCall.accept(body);
         return new Wire.Answer(200, report());
     }
 
--- a/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
+++ b/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
@@ -101,7 +101,7 @@
                 commands,
                 known ? machine.incarnation() : FIRST_INCARNATION,
                 known ? OptionalLong.of(machine.heartbeatSequence()) : OptionalLong.empty(),
-                machine.commandToken(),
+                machine.tokens.sent(),
                 toUnresponsive,
                 term.now());
         scheduler.commands().sentDirectly(machine, commands);
--- a/src/main/java/org/hollypick/control/machines/CommandLog.java
+++ b/src/main/java/org/hollypick/control/machines/CommandLog.java
@@ -32,13 +32,13 @@
                     command.task(),
                     command.attempt(),
                     machine.id,
-                    machine.commandToken(),
+                    machine.tokens.sent(),
                     machine.incarnation(),
                     route,
                     assignment == null ? "NOT_ASSIGNED" : assignment.state(),
                     assignment != null && assignment.stopRequested(),
                     assignment == null ? 0 : assignment.directLaunchToken(),
-                    machine.seenToken());
+                    machine.tokens.seen());
         }
     }
 }
--- a/src/main/java/org/hollypick/control/machines/HeartbeatHandler.java
+++ b/src/main/java/org/hollypick/control/machines/HeartbeatHandler.java
@@ -193,7 +193,7 @@
             scheduler.outbox().commandsDelivered(machine);
         }
         term.requestReconcile();
-        return ServerResponse.of(200, AgentCodec.encodeCommands(machine.commandToken(), commands))
+        return ServerResponse.of(200, AgentCodec.encodeCommands(machine.tokens.sent(), commands))
                 .onlyWhile(term.leaderLeaseHeld());
     }
 }
--- a/src/main/java/org/hollypick/core/CommandTracker.java
+++ b/src/main/java/org/hollypick/core/CommandTracker.java
@@ -33,7 +33,7 @@
         if (machine.directCalls.directCallInFlight() || !machine.needsNewerToken()) {
             return;
         }
-        if (!machine.raiseCommandToken(tokens.usable())) {
+        if (!machine.tokens.raise(tokens.usable())) {
             tokens.requestNewer();
         }
     }
@@ -48,7 +48,7 @@
         for (TaskStatus status : machine.reportedTasks()) {
             Assignment assignment = machine.assignmentOf(status.task(), status.attempt());
             if (status.state() == State.EXITED) {
-                if (assignment == null || assignment.mayBeCleared(machine.commandToken())) {
+                if (assignment == null || assignment.mayBeCleared(machine.tokens.sent())) {
                     clears.add(new Command(Verb.CLEAR, status.task(), status.attempt(), NO_GRACE_S));
                 }
             } else if (assignment == null) {
@@ -96,7 +96,7 @@
         for (Command command : commands) {
             Assignment assignment = assignmentToLaunch(command, machine);
             if (assignment != null) {
-                assignment.launchSentDirectly(machine.commandToken());
+                assignment.launchSentDirectly(machine.tokens.sent());
             }
         }
     }
--- a/src/main/java/org/hollypick/core/assignment/Machine.java
+++ b/src/main/java/org/hollypick/core/assignment/Machine.java
@@ -40,6 +40,8 @@
     private boolean awaitsHeartbeat;
     /** Whether responses and commands reach the agent. */
     public final HeartbeatValidity validity = new HeartbeatValidity();
+    /** The fencing tokens of the messages to and from the agent. */
+    public final AgentTokens tokens = new AgentTokens();
     /** The direct calls to the agent. */
     public final DirectCalls directCalls = new DirectCalls();
     /** Whether peers of this controller reach the machine. */
@@ -51,13 +53,6 @@
     private long incarnation;
 
     private long heartbeatSequence;
-    /**
-     * The token of the newest heartbeat. A heartbeat with a larger sequence number but a lower token was sent before
-     * the agent restarted.
-     */
-    private long seenToken;
-    /** The fencing token of the messages to the agent. It only increases. */
-    private long commandToken;
     /** Heartbeats of incarnations before this one are outdated. */
     private long minIncarnation;
 
@@ -206,37 +201,18 @@
         return heartbeatAcknowledgedAt;
     }
 
-    // ---- fencing token ----
-
-    /** The fencing token of the messages to the agent: the term's own, or a newer one of the same term. */
-    public long commandToken() {
-        return commandToken;
-    }
-
-    /** The newest fencing token that the agent has reported. */
-    public long seenToken() {
-        return seenToken;
-    }
-
-    /** Raises the fencing token of the messages to the agent; returns whether it became newer. */
-    public boolean raiseCommandToken(long token) {
-        boolean newer = Long.compareUnsigned(token, commandToken) > 0;
-        if (newer) {
-            commandToken = token;
-        }
-        return newer;
-    }
+    // ---- copies of direct calls ----
 
     /**
-     * Whether copies of direct calls have to be fenced off by a newer token than {@link #commandToken}: before exited
-     * attempts are cleared, and before tasks that the agent no longer lists count as gone.
+     * Whether copies of direct calls have to be fenced off by a newer token than that of the messages so far: before
+     * exited attempts are cleared, and before tasks that the agent no longer lists count as gone.
      */
     public boolean needsNewerToken() {
         for (Assignment assignment : assignments.values()) {
             boolean awaitsLaunch = assignment.state() == Assignment.State.LAUNCHING && !assignment.stopRequested();
             boolean unlisted = !awaitsLaunch && !isListed(assignment);
-            if (assignment.needsNewerTokenToBeCleared(commandToken)
-                    || (unlisted && assignment.copyMayLaunchUnder(commandToken))) {
+            if (assignment.needsNewerTokenToBeCleared(tokens.sent())
+                    || (unlisted && assignment.copyMayLaunchUnder(tokens.sent()))) {
                 return true;
             }
         }
@@ -419,7 +395,7 @@
                 || (incarnationExpired() && Long.compareUnsigned(heartbeat.incarnation(), incarnation) <= 0)
                 || (heartbeatReceived
                         && heartbeat.newerThan(incarnation, heartbeatSequence)
-                        && Long.compareUnsigned(heartbeat.token(), seenToken) < 0);
+                        && tokens.precedesRestart(heartbeat.token()));
     }
 
     /** Ends the known incarnation, when the agent reports another one; see {@link #awaitsHeartbeat}. */
@@ -465,7 +441,7 @@
 
     /** Records the heartbeat as the newest one. */
     public void recordHeartbeat(Heartbeat heartbeat) {
-        seenToken = heartbeat.token();
+        tokens.recordSeen(heartbeat.token());
         incarnation = heartbeat.incarnation();
         heartbeatSequence = heartbeat.sequence();
         if (!heartbeat.address().isEmpty()) {
@@ -524,7 +500,7 @@
 
     /** Whether a copy of a direct call may start the attempt, which the agent doesn't list now. */
     public boolean mayBeLaunchedByCopy(Assignment assignment) {
-        return !isListed(assignment) && assignment.copyMayLaunchUnder(seenToken);
+        return !isListed(assignment) && assignment.copyMayLaunchUnder(tokens.seen());
     }
 
     // ---- resources ----
--- a/src/test/java/org/hollypick/model/RepeatedLaunchModelTest.java
+++ b/src/test/java/org/hollypick/model/RepeatedLaunchModelTest.java
@@ -159,23 +159,35 @@
         void receiveHeartbeat(Fault fault) {
             heartbeatInFlight = false;
             reconciled |= listedToken >= (secondLeads ? SECOND_TOKEN : LAUNCH_TOKEN);
-            boolean copiesFenced = listedToken > LAUNCH_TOKEN || listedAfterExpiry;
-            boolean trusted = copiesFenced || fault == Fault.TRUSTS_A_LIST_UNDER_THE_LAUNCHS_TOKEN;
             switch (listed) {
                 case RUNNING -> applyRunning(fault);
                 case EXITED -> held = Attempt.EXITED;
-                case UNKNOWN -> held = trusted || secondLeads ? Attempt.UNKNOWN : held;
+                case UNKNOWN -> applyUnlisted(fault);
+            }
+            if (!secondLeads && needsNewerToken(fault)) {
+                commandToken = RAISED_TOKEN;
             }
-            boolean needsRaise = !secondLeads
-                    && held != Attempt.RUNNING
-                    && fault != Fault.CLEARS_UNDER_THE_LAUNCHS_TOKEN
-                    && fault != Fault.IGNORES_ATTEMPTS_HELD_AS_EXITED;
-            boolean lost = held == Attempt.RUNNING && listed == Attempt.UNKNOWN;
-            commandToken = needsRaise || (lost && !secondLeads) ? RAISED_TOKEN : commandToken;
             replyToken = leaderToken();
             reply = replyTo(fault);
         }
 
+        /** An attempt that isn't listed is gone only if no copy can start it any more. */
+        private void applyUnlisted(Fault fault) {
+            boolean copiesFenced = secondLeads || listedToken > LAUNCH_TOKEN || listedAfterExpiry;
+            if (copiesFenced || fault == Fault.TRUSTS_A_LIST_UNDER_THE_LAUNCHS_TOKEN) {
+                held = Attempt.UNKNOWN;
+            }
+        }
+
+        private boolean needsNewerToken(Fault fault) {
+            boolean lost = held == Attempt.RUNNING && listed == Attempt.UNKNOWN;
+            return lost || (held != Attempt.RUNNING && !clearsUnderAnyToken(fault));
+        }
+
+        private static boolean clearsUnderAnyToken(Fault fault) {
+            return fault == Fault.CLEARS_UNDER_THE_LAUNCHS_TOKEN || fault == Fault.IGNORES_ATTEMPTS_HELD_AS_EXITED;
+        }
+
         private void applyRunning(Fault fault) {
             if (held != Attempt.EXITED || fault != Fault.IGNORES_ATTEMPTS_HELD_AS_EXITED) {
                 held = Attempt.RUNNING;
@@ -194,9 +206,7 @@
                 violation = Violation.IGNORED;
             }
             boolean fenced = replyToken > LAUNCH_TOKEN || listedAfterExpiry;
-            boolean mayClear = fenced
-                    || fault == Fault.CLEARS_UNDER_THE_LAUNCHS_TOKEN
-                    || fault == Fault.IGNORES_ATTEMPTS_HELD_AS_EXITED;
+            boolean mayClear = fenced || clearsUnderAnyToken(fault);
             return listed == Attempt.EXITED && mayClear ? Reply.CLEAR : Reply.NOTHING;
         }
 
--- a/src/test/java/org/hollypick/sim/AgentProtocol.java
+++ b/src/test/java/org/hollypick/sim/AgentProtocol.java
@@ -1,5 +1,7 @@
 package org.hollypick.sim;
 
+import org.hollypick.io.Request;
+
 /** Paths, fields and values of the agents' protocol, defined independently of the program's codecs. */
 final class AgentProtocol {
     static final String HEARTBEAT = "/hello";
@@ -29,4 +31,10 @@
     static final String CLEAR = "clear";
 
     private AgentProtocol() {}
+
+    /** Whether the request is a direct call that launches a task. */
+    static boolean isLaunch(Request request) {
+        return request.path().equals(COMMANDS)
+                && request.body().path(COMMAND_LIST).toString().contains(LAUNCH);
+    }
 }
--- a/src/test/java/org/hollypick/sim/MachineFaultsTest.java
+++ b/src/test/java/org/hollypick/sim/MachineFaultsTest.java
@@ -47,11 +47,6 @@
         return new ClusterScenario(seed, 1, null, null, version);
     }
 
-    private static boolean isLaunch(Request call) {
-        return call.path().equals("/commands")
-                && call.body().path("orders").toString().contains("launch");
-    }
-
     private static boolean isRegistration(Request call) {
         return call.path().equals("/commit")
                 && call.body().path("then").toString().contains("\"h/m/");
@@ -160,7 +155,7 @@
         scenario.world.requestObserver = (from, call) -> {
             if ((testCase.crashTrigger == CrashTrigger.SCALE_OUT_SENT && isScaleOut(call))
                     || (testCase.crashTrigger == CrashTrigger.REGISTRATION_SENT && isRegistration(call))
-                    || (testCase.crashTrigger == CrashTrigger.LAUNCH_SENT && isLaunch(call))) {
+                    || (testCase.crashTrigger == CrashTrigger.LAUNCH_SENT && AgentProtocol.isLaunch(call))) {
                 crash.run();
             }
         };
--- a/src/test/java/org/hollypick/sim/RepeatedRequests.java
+++ b/src/test/java/org/hollypick/sim/RepeatedRequests.java
@@ -76,18 +76,13 @@
                 answeredByAddress.getOrDefault(address, new ArrayDeque<>()).iterator();
         while (answered.hasNext()) {
             AnsweredRequest next = answered.next();
-            if (world.now - next.answeredAt < MAX_AGE_MS && launches(next.request)) {
+            if (world.now - next.answeredAt < MAX_AGE_MS && AgentProtocol.isLaunch(next.request)) {
                 answered.remove();
                 deliverLater(next.request, 1 + random.nextInt(MAX_DELAY_AFTER_TRIGGER_MS));
             }
         }
     }
 
-    private static boolean launches(Request request) {
-        return request.path().equals(AgentProtocol.COMMANDS)
-                && request.body().path(AgentProtocol.COMMAND_LIST).toString().contains(AgentProtocol.LAUNCH);
-    }
-
     private void deliverLater(Request request, long delayMs) {
         world.schedule(delayMs, () -> {
             deliveredCopies++;
