--- a/src/main/java/org/hollypick/core/AssignmentTable.java
+++ b/src/main/java/org/hollypick/core/AssignmentTable.java
@@ -178,7 +178,7 @@
      */
     private void reappeared(Assignment assignment, State state, long now) {
         Job job = assignment.job;
-        assignment.machine.allocateAgain(assignment);
+        assignment.machine.allocate(assignment);
         assignment.transitionTo(state, now);
         teamUsage.add(assignment.spec, 1);
         boolean isTasksAttempt = job.assignments.get(assignment.index) == null && job.mayStart(assignment.index);
--- a/src/main/java/org/hollypick/core/assignment/Machine.java
+++ b/src/main/java/org/hollypick/core/assignment/Machine.java
@@ -119,8 +119,7 @@
     public void add(Assignment assignment) {
         assignments.put(assignment.attempt, assignment);
         adjustCounts(assignment, 1);
-        assignment.holdsResources = true;
-        adjustUsage(assignment, 1);
+        allocate(assignment);
     }
 
     /** The assignment with this task id and attempt number; null if there is none. */
@@ -505,8 +504,8 @@
 
     // ---- resources ----
 
-    /** Counts the assignment's resources as used again: its attempt was started once more after its exit. */
-    public void allocateAgain(Assignment assignment) {
+    /** Counts the assignment's resources as used: it is new, or its attempt was started once more after its exit. */
+    public void allocate(Assignment assignment) {
         if (!assignment.holdsResources) {
             assignment.holdsResources = true;
             adjustUsage(assignment, 1);
--- a/src/test/java/org/hollypick/core/ReappearedAttemptTest.java
+++ b/src/test/java/org/hollypick/core/ReappearedAttemptTest.java
@@ -47,27 +47,7 @@
     }
 
     private static JobSpec spec(String id) {
-        return new JobSpec(
-                id,
-                "k",
-                "team",
-                false,
-                JobSpec.Priority.LOW,
-                1,
-                2,
-                0,
-                4,
-                null,
-                null,
-                false,
-                false,
-                true,
-                "img",
-                1,
-                10,
-                0,
-                0,
-                Double.NaN);
+        return JobSpecBuilder.array(id).cpus(2).build();
     }
 
     /** Starts the job's only task, lets it fail on the first machine, and returns the failed attempt. */
--- a/src/test/java/org/hollypick/sim/RepeatedRequests.java
+++ b/src/test/java/org/hollypick/sim/RepeatedRequests.java
@@ -6,7 +6,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.Predicate;
 import org.hollypick.io.Request;
 import org.hollypick.io.Response;
 
@@ -31,12 +30,10 @@
     private final Map<String, Deque<AnsweredRequest>> answeredByAddress = new HashMap<>();
     /** The probability that an answered request arrives once more. */
     double probability;
-    /** The probability that, after an agent cleared an attempt, one of the calls to it arrives once more. */
+    /** The probability that, after an agent cleared an attempt, the launches sent to it before arrive once more. */
     double probabilityAfterClear;
-    /** The probability that, after a restart of an agent, one of the calls to it arrives once more. */
+    /** The probability that, after a restart of an agent, the launches sent to it before arrive once more. */
     double probabilityAfterRestart;
-    /** Selects the requests that may arrive once more. */
-    Predicate<Request> selection = request -> true;
 
     int deliveredCopies;
 
@@ -53,7 +50,7 @@
     }
 
     private void answered(Request request, Response response) {
-        if (!response.ok() || request.path().startsWith(WATCH_PATH) || !selection.test(request)) {
+        if (!response.ok() || request.path().startsWith(WATCH_PATH)) {
             return;
         }
         Deque<AnsweredRequest> answered =
