--- a/review/kit-2/Case4.java
+++ b/review/kit-2/Case4.java
@@ -19,7 +19,7 @@
             int minutes = Kit.TROUBLE ? 24 * 60 : 60;
             World world = new World();
             Store store = new Store(300, 100);
-            Cloud cloud = new Cloud(world, 4, 3);
+            Cloud cloud = new Cloud(world, 4, 2);
             Path temp = Files.createTempDirectory("case4");
             List<Kit.Node> nodes = Kit.controllers(temp, store, cloud.open(), PARAMS, "highveld-a", "coastal-b");
             world.nodes = nodes;
--- a/review/kit-2/Cloud.java
+++ b/review/kit-2/Cloud.java
@@ -12,6 +12,8 @@
     final World world;
     final int limitPerZone;
     final double bootS;
+    /** Told of each new machine. */
+    java.util.function.Consumer<Worker> onNew = worker -> {};
     private int count;
 
     Cloud(World world, int limitPerZone, double bootS) {
@@ -24,10 +26,14 @@
         return Http.serve(this::handle);
     }
 
+    synchronized List<Worker> list() {
+        return new ArrayList<>(workers.values());
+    }
+
     private synchronized Http.Answer handle(Http.Ask ask) {
         if (ask.path().equals("/machine_types")) {
             Map<String, Object> type = new LinkedHashMap<>();
-            type.put("sku", "veld-sixteen");
+            type.put("sku", World.type);
             type.put("cores", 16);
             type.put("gpus", 0);
             type.put("ram_gb", 64);
@@ -35,8 +41,8 @@
             type.put("pull_gb_per_s", 5.0);
             type.put("price", 0.9);
             type.put("market_price", 0.36);
-            type.put("ready_s", bootS);
-            type.put("halls", List.of("highveld-a", "coastal-b"));
+            type.put("ready_s", World.readyS);
+            type.put("halls", World.halls);
             return Http.Answer.of(200, "flavours", List.of(type));
         }
         if (ask.path().equals("/hosts") && ask.method().equals("POST")) {
@@ -55,7 +61,9 @@
                 names = new ArrayList<>();
                 for (int i = 0; i < number; i++) {
                     String name = String.format("n-%06d", ++count);
-                    workers.put(name, new Worker(world, name, hall, spot, bootS));
+                    Worker worker = new Worker(world, name, hall, spot, bootS);
+                    workers.put(name, worker);
+                    onNew.accept(worker);
                     names.add(name);
                 }
                 hires.put(hire, names);
@@ -80,7 +88,7 @@
                 Map<String, Object> entry = new LinkedHashMap<>();
                 entry.put("name_id", name);
                 entry.put("addr", worker.address);
-                entry.put("flavour", "veld-sixteen");
+                entry.put("flavour", World.type);
                 entry.put("hall", worker.hall);
                 entry.put("lendable", worker.spot);
                 entry.put("status", worker.up() ? "running" : "starting");
--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -120,6 +120,12 @@
             process = builder.start();
         }
 
+        /** Adds an option to the command. */
+        void option(String name, String value) {
+            command.add(name);
+            command.add(value);
+        }
+
         boolean alive() {
             return process != null && process.isAlive();
         }
--- a/review/kit-2/Worker.java
+++ b/review/kit-2/Worker.java
@@ -14,6 +14,7 @@
         long attempt;
         String status = "fetching";
         String cause;
+        boolean fails;
         double since = Kit.now();
     }
 
@@ -35,6 +36,8 @@
     private int node;
     /** The machine hangs. */
     volatile boolean hangs;
+    /** The machine fails every task that it starts. */
+    volatile boolean faulty;
     /** Reports reach no controller. */
     volatile boolean mute;
 
@@ -54,6 +57,18 @@
         Http.THREADS.execute(this::report);
     }
 
+    /** The cores that no task takes. */
+    synchronized double freeCores() {
+        double free = 16;
+        for (Task t : tasks) {
+            if (!t.status.equals("exited")) {
+                free -= ((Number) world.jobs.get(t.shard.substring(0, t.shard.indexOf('/'))).get("cores"))
+                        .doubleValue();
+            }
+        }
+        return up() && !removed ? free : 0;
+    }
+
     double age() {
         return Kit.now() - createdAt;
     }
@@ -85,7 +100,7 @@
 
     private void step() {
         double now = Kit.now();
-        if (now - leaseFrom > World.LEASE_S) {
+        if (now - leaseFrom > World.leaseS) {
             Kit.log(name + ": lease ends, session " + (tenure + 1));
             dropAll("lease");
             tenure++;
@@ -99,10 +114,13 @@
                 t.status = "running";
                 t.since = now;
                 changed = true;
+                t.fails = faulty;
                 world.started(t.shard, name, t.attempt);
                 if (world.done.contains(t.shard)) {
                     exit(t, "done");
                 }
+            } else if (t.status.equals("running") && t.fails && now - t.since > 0.5) {
+                exit(t, "error");
             } else if (t.status.equals("running")
                     && !"standing".equals(world.jobs.get(job).get("shape"))
                     && now - t.since >= world.runS.get(job)) {
@@ -137,7 +155,7 @@
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("bothy", name);
         body.put("addr", address);
-        body.put("flavour", "veld-sixteen");
+        body.put("flavour", World.type);
         body.put("hall", hall);
         body.put("lendable", spot);
         body.put("tenure", tenure);
@@ -169,7 +187,7 @@
                 Kit.sleep(20);
                 continue;
             }
-            next = now + World.REPORT_S * (0.75 + random.nextDouble() / 2);
+            next = now + World.reportS * (0.75 + random.nextDouble() / 2);
             last = now;
             Map<String, Object> body;
             long session;
--- a/review/kit-2/World.java
+++ b/review/kit-2/World.java
@@ -7,9 +7,15 @@
 
 /** What users, workers and the platform share: the uploaded jobs, the nodes, and the rules that are checked. */
 final class World {
-    static final double REPORT_S = 3.0;
-    static final double LEASE_S = 26.0;
-    static final double CANCEL_S = 46.0;
+    static double reportS = 3.0;
+    static double leaseS = 26.0;
+    static double cancelS = 46.0;
+    static String team = "kopano-ops";
+    static String service = "score-api";
+    static String array = "test-sweep";
+    static String type = "veld-sixteen";
+    static List<String> halls = List.of("highveld-a", "coastal-b");
+    static double readyS = 50;
     List<Kit.Node> nodes = new ArrayList<>();
     final Map<String, Map<String, Object>> jobs = new ConcurrentHashMap<>();
     /** The run time of a job's tasks, in seconds. */
@@ -19,6 +25,8 @@
     final Set<String> done = ConcurrentHashMap.newKeySet();
     final Map<String, Integer> starts = new ConcurrentHashMap<>();
     final List<String> broken = new ArrayList<>();
+    /** Tasks that exited with an error. */
+    volatile int failures;
     /** When a job's user was told that it is cancelled. */
     final Map<String, Double> cancelledAt = new ConcurrentHashMap<>();
 
@@ -36,7 +44,7 @@
         }
         machines.add(machine);
         Double told = cancelledAt.get(task.substring(0, task.indexOf('/')));
-        if (told != null && Kit.now() > told + CANCEL_S) {
+        if (told != null && Kit.now() > told + cancelS) {
             broken("ran_cancelled: " + task + " starts");
         }
     }
@@ -48,6 +56,8 @@
         }
         if (why.equals("done")) {
             done.add(task);
+        } else if (why.equals("error")) {
+            failures++;
         }
     }
 
@@ -64,8 +74,8 @@
     static Map<String, Object> job(String id, String shape, String rank, int shards, double cores, double expect) {
         Map<String, Object> job = new LinkedHashMap<>();
         job.put("name_id", id);
-        job.put("jobkind", shape.equals("standing") ? "score-api" : "test-sweep");
-        job.put("owner", "kopano-ops");
+        job.put("jobkind", shape.equals("standing") ? service : array);
+        job.put("owner", team);
         job.put("shape", shape);
         job.put("rank", rank);
         job.put("shards", shards);
@@ -89,6 +99,23 @@
     static final String PARAMS = "[[params.teams]]\nname = \"kopano-ops\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\n"
             + "gpus_max = 0.0\n" + fixed();
 
+    /** Takes the values of the site cyfrif-cardiff instead of those of ubuntu-arena-jhb; returns its settings. */
+    static String cyfrif() {
+        leaseS = 27.0;
+        cancelS = 47.0;
+        team = "llyfr-ops";
+        service = "receipt-reader";
+        array = "bankfeed-recon";
+        type = "derw-sixteen";
+        halls = List.of("taf-bay", "menai-hall");
+        readyS = 35;
+        return "[[params.teams]]\nname = \"llyfr-ops\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
+                + "[params.workers]\nreport_s = 3.0\nlease_s = 27.0\ngang_wait_s = 50.0\ngang_peer_s = 8.0\n"
+                + "cancel_s = 47.0\n[params.state]\nrps = 120.0\nwrite_rps = 30.0\nvalue_kb = 8.0\ntxn_ops = 12\n"
+                + "[params.cloud]\nrps = 8.0\nlist_lag_s = 5.0\n"
+                + "[params.resources]\ncores = 0.425\nmem_mb = 320.0\nsockets = 1800\n";
+    }
+
     static String fixed() {
         return "[params.workers]\nreport_s = 3.0\nlease_s = 26.0\ngang_wait_s = 30.0\ngang_peer_s = 6.0\n"
                 + "cancel_s = 46.0\n[params.state]\nrps = 150.0\nwrite_rps = 50.0\nvalue_kb = 16.0\ntxn_ops = 16\n"
