--- a/review/kit-2/run.sh
+++ b/review/kit-2/run.sh
@@ -9,7 +9,7 @@
     if [ -f "$temp/pids" ]; then
         while read -r pid; do
             # Only a controller of this run: its command names a settings file in this folder.
-            if tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null | grep -qF "$temp/"; then
+            if [ -r "/proc/$pid/cmdline" ] && tr '\0' ' ' <"/proc/$pid/cmdline" | grep -qF "$temp/"; then
                 kill -9 "$pid" 2>/dev/null
             fi
         done <"$temp/pids"
