Count the time at the team's quota in a test's deadline

Cause: delayedHeartbeatCopiesDoNotKeepAHungMachine wants all drawn batch jobs to be terminal 150 s after a failover.

Change: only time in which a further task of 2 cores, the largest that is drawn, fits under the quota counts towards the 150 s.

--- a/src/test/java/org/hollypick/sim/InboundReachabilityTest.java
+++ b/src/test/java/org/hollypick/sim/InboundReachabilityTest.java
@@ -17,6 +17,8 @@
 class InboundReachabilityTest {
     private static final long LEASE_MS = 15_000;
     private static final long FIVE_MINUTES_MS = 300_000;
+    private static final long QUOTA_CHECK_INTERVAL_MS = 500;
+    private static final double LARGEST_TASK_CORES = 2;
 
     private static ClusterScenario newScenario(long seed) {
         return newScenario(seed, 3);
@@ -193,11 +195,21 @@
                     hung.stream().noneMatch(scenario.cloud.machineNames()::contains),
                     "seed " + seed + ": a copy of a heartbeat kept a hung machine");
             scenario.faults.crashAll();
-            scenario.advance(150_000);
+            advanceBelowQuota(scenario, 150_000);
             assertBatchJobsTerminalWithoutViolations(scenario, seed);
         }
     }
 
+    /** Advances until the team had capacity left under its quota for the given time: at its quota, jobs have to wait. */
+    private static void advanceBelowQuota(ClusterScenario scenario, long durationMs) {
+        long remainingMs = durationMs;
+        while (remainingMs > 0) {
+            scenario.advance(QUOTA_CHECK_INTERVAL_MS);
+            boolean atQuota = !scenario.checker.tasks.isWithinQuota(JobDescription.DEFAULT_TEAM, LARGEST_TASK_CORES);
+            remainingMs -= atQuota ? 0 : QUOTA_CHECK_INTERVAL_MS;
+        }
+    }
+
     /**
      * Guards against the rejection of a restarted agent's heartbeats: they seemed older than those known, were rejected
      * for as long as the agent had run before the restart, and its tasks seemed to go on running.
