Fence a restarted agent at its first heartbeat, so that copies of earlier launches start nothing

A user was told that a job is cancelled; 48.9 s later its task ran again (ran_cancelled). Its machine had been away for 0.2 s, and a copy of the answered call that had launched the task arrived 0.1 s after it was back. The same in simulation: ran_twice, wrong_place, quota, and starts after a cancellation.

Cause: an agent that restarts with its first incarnation, its sequence numbers and its token from the start refuses no copy until a message shows it a newer token. Its heartbeats, being older by number, were answered with 503, so none did; the leader called it only once heartbeats were overdue, 4.5 s later. That call carried the token of the latest command, under which copies may still be executed, and what ran there was neither counted nor stopped until the next incarnation. A second restart within the lease wasn't noted.

Change: a heartbeat that may be one of the first of a restarted agent (no token, though the machine has shown one; or numbers from the start again) makes the leader call the agent at once, without commands, under the newest usable token. If the response shows a restart, and only this call has carried its token, every message from before shows a lower one: the agent's state counts, lost tasks start again, and what a copy has started is stopped. Otherwise the agent is called again under a newer token. Calls are limited to one in 0.5 s for each machine and 16 in flight. A lease counts from the last restart.

--- a/src/main/java/org/hollypick/config/constants/FailureDetectionConstants.java
+++ b/src/main/java/org/hollypick/config/constants/FailureDetectionConstants.java
@@ -35,6 +35,27 @@
      */
     public static final long HEARTBEAT_AFTER_NEW_TOKEN_MS = 1_000;
 
+    /** Sequence numbers up to which a heartbeat may be one of the first that an agent's process sends. */
+    public static final long MAX_FIRST_SEQUENCE = 8;
+
+    /**
+     * Minimum decrease of the sequence number that suggests a restart. The responses to direct calls overtake
+     * heartbeats that were sent just before.
+     */
+    public static final long MIN_SEQUENCE_DROP_OF_RESTART = 8;
+
+    /**
+     * Minimum milliseconds between two checks whether the same machine's agent has restarted; an agent's heartbeats are
+     * at least as far apart.
+     */
+    public static final long RESTART_CHECK_INTERVAL_MS = 500;
+
+    /**
+     * Maximum number of checks for restarts in flight. Late copies of many machines' first heartbeats must not use up
+     * the direct calls.
+     */
+    public static final int MAX_RESTART_CHECKS_IN_FLIGHT = 16;
+
     /** Number of direct calls in flight that are always allowed. */
     public static final int MIN_DIRECT_CALLS = 8;
 
--- a/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
+++ b/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
@@ -1,7 +1,7 @@
 package org.hollypick.control.machines;
 
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import org.hollypick.agent.AgentClient;
 import org.hollypick.agent.AgentResponse;
 import org.hollypick.config.constants.FailureDetectionConstants;
@@ -32,12 +32,23 @@
     private final DirectCallLimiter limiter;
     private final Runnable onCallCompleted;
 
+    /** The direct calls in flight that check for a restart of the agent. */
+    private int restartChecksInFlight;
+
+    /** The newest incarnation and sequence number received from a machine. */
+    private record HeartbeatNumber(long incarnation, long sequence) {
+        static Optional<HeartbeatNumber> newestOf(Machine machine) {
+            return machine.heartbeatReceived()
+                    ? Optional.of(new HeartbeatNumber(machine.incarnation(), machine.heartbeatSequence()))
+                    : Optional.empty();
+        }
+    }
+
     /**
      * A direct call in flight.
      *
      * @param incarnation the agent's incarnation that the commands are for
-     * @param knownSequence the newest sequence number received from the machine at the time of sending; empty if there
-     *     was none
+     * @param newestKnown the newest number received from the machine at the time of sending; empty if there was none
      * @param toUnresponsive whether the machine was unresponsive at the time of sending
      * @param token the fencing token that the call carries
      * @param startedAt when the call was sent, in milliseconds
@@ -46,7 +57,7 @@
             Machine machine,
             List<Command> commands,
             long incarnation,
-            OptionalLong knownSequence,
+            Optional<HeartbeatNumber> newestKnown,
             long token,
             boolean toUnresponsive,
             long startedAt) {}
@@ -83,6 +94,10 @@
     }
 
     private void call(Machine machine, boolean isProbe) {
+        if (machine.restartCheck.isPending()) {
+            checkRestart(machine);
+            return;
+        }
         if (!mayCall(machine)) {
             return;
         }
@@ -91,16 +106,48 @@
         if (machine.reconciled() && !isProbe && canWaitForHeartbeat) {
             return;
         }
-        boolean toUnresponsive = machine.directCalls.unacknowledgedCalls() > 0 || machine.validity.isSuspected();
-        if (toUnresponsive && !limiter.mayCallUnresponsive()) {
+        if (isUnresponsive(machine) && !limiter.mayCallUnresponsive()) {
+            return;
+        }
+        send(machine, commands, machine.heartbeatReceived() ? machine.incarnation() : FIRST_INCARNATION);
+    }
+
+    /**
+     * Calls the agent without commands under a newer token, if possible: whether it has restarted or not, it refuses
+     * all copies of earlier launches from then on, and its state in the response tells which is the case.
+     */
+    private void checkRestart(Machine machine) {
+        long now = term.now();
+        if (!isCallable(machine)
+                || !machine.restartCheck.isDue(now)
+                || restartChecksInFlight >= FailureDetectionConstants.MAX_RESTART_CHECKS_IN_FLIGHT
+                || (isUnresponsive(machine) && !limiter.mayCallUnresponsive())) {
             return;
         }
-        boolean known = machine.heartbeatReceived();
+        scheduler.commands().raiseToken(machine);
+        machine.restartCheck.callStarted(now);
+        restartChecksInFlight++;
+        LOG.debug(
+                "agent.restart_check machine={} incarnation={} known_incarnation={} known_sequence={} token={}",
+                machine.id,
+                machine.restartCheck.incarnation(),
+                machine.incarnation(),
+                machine.heartbeatSequence(),
+                machine.tokens.sent());
+        send(machine, List.of(), machine.restartCheck.incarnation());
+    }
+
+    private static boolean isUnresponsive(Machine machine) {
+        return machine.directCalls.unacknowledgedCalls() > 0 || machine.validity.isSuspected();
+    }
+
+    private void send(Machine machine, List<Command> commands, long incarnation) {
+        boolean toUnresponsive = isUnresponsive(machine);
         DirectCall call = new DirectCall(
                 machine,
                 commands,
-                known ? machine.incarnation() : FIRST_INCARNATION,
-                known ? OptionalLong.of(machine.heartbeatSequence()) : OptionalLong.empty(),
+                incarnation,
+                HeartbeatNumber.newestOf(machine),
                 machine.tokens.sent(),
                 toUnresponsive,
                 term.now());
@@ -117,11 +164,13 @@
     }
 
     private boolean mayCall(Machine machine) {
+        return isCallable(machine) && machine.directCalls.directCallNotBefore() <= term.now() && !machine.isScalingIn();
+    }
+
+    private boolean isCallable(Machine machine) {
         return term.holdsLeaderLease()
                 && !machine.directCalls.directCallInFlight()
-                && !machine.address().isEmpty()
-                && machine.directCalls.directCallNotBefore() <= term.now()
-                && !machine.isScalingIn();
+                && !machine.address().isEmpty();
     }
 
     private List<Command> commandsFor(Machine machine) {
@@ -132,18 +181,30 @@
 
     private void callCompleted(DirectCall call, AgentResponse response) {
         long now = term.now();
+        boolean wasRestartCheck = call.machine().restartCheck.callCompleted();
+        restartChecksInFlight -= wasRestartCheck ? 1 : 0;
         limiter.callCompleted(call.toUnresponsive(), response, now - call.startedAt(), now);
         scheduler
                 .commands()
                 .directCallCompleted(call.machine(), call.commands(), call.incarnation(), response.callOutcome());
         if (response.outcome() == AgentResponse.Outcome.ACKNOWLEDGED) {
-            applyAcknowledgement(call, response.heartbeat());
+            applyAcknowledgement(call, response.heartbeat(), wasRestartCheck);
         } else {
             recordUnacknowledged(call.machine(), response, now);
         }
+        if (!wasRestartCheck && call.machine().restartCheck.isPending()) {
+            checkAfterCall(call.machine());
+        }
         onCallCompleted.run();
     }
 
+    /** Makes the check that the completed call has delayed. A check that got no answer waits for the next heartbeat. */
+    private void checkAfterCall(Machine machine) {
+        if (scheduler.machine(machine.id) == machine) {
+            probe(machine);
+        }
+    }
+
     private void recordUnacknowledged(Machine machine, AgentResponse response, long now) {
         if (response.outcome() != AgentResponse.Outcome.NO_CAPACITY) {
             machine.directCalls.recordUnacknowledgedCall();
@@ -161,7 +222,7 @@
      *
      * @param heartbeat the agent's state; null if the response could not be decoded
      */
-    private void applyAcknowledgement(DirectCall call, Heartbeat heartbeat) {
+    private void applyAcknowledgement(DirectCall call, Heartbeat heartbeat, boolean wasRestartCheck) {
         Machine machine = call.machine();
         if (heartbeat == null
                 || scheduler.machine(machine.id) != machine
@@ -173,28 +234,50 @@
         machine.validity.deliveryConfirmed();
         scheduler.heartbeats().confirmLive(machine);
         HeartbeatHandler.apply(scheduler, machine, heartbeat, false, now);
-        if (indicatesRestart(call, heartbeat) && !machine.incarnationExpired()) {
-            LOG.info(
-                    "agent.restarted machine={} incarnation={} sequence={} known_incarnation={} known_sequence={}",
-                    machine.id,
-                    heartbeat.incarnation(),
-                    heartbeat.sequence(),
-                    call.incarnation(),
-                    call.knownSequence().getAsLong());
-            scheduler.heartbeats().applyAgentRestart(machine, heartbeat, now);
+        if (indicatesRestart(call, heartbeat)) {
+            applyRestart(call, heartbeat, now);
+        } else if (wasRestartCheck) {
+            machine.restartCheck.completed();
         }
         if (!wasReconciled && !machine.reconciled()) {
             call(machine, true);
         }
     }
 
+    /**
+     * Applies the state of a restarted agent. Unless this call alone carried the token that the agent shows, late
+     * heartbeats from before the restart might pass for newer ones, and the agent is checked again under a newer token.
+     */
+    private void applyRestart(DirectCall call, Heartbeat heartbeat, long now) {
+        Machine machine = call.machine();
+        boolean fenced = heartbeat.token() == call.token() && machine.tokens.carriedByOneMessageOnly(call.token());
+        HeartbeatNumber known = call.newestKnown().orElseThrow();
+        LOG.info(
+                "agent.restarted machine={} incarnation={} sequence={} known_incarnation={} known_sequence={} fenced={}",
+                machine.id,
+                heartbeat.incarnation(),
+                heartbeat.sequence(),
+                known.incarnation(),
+                known.sequence(),
+                fenced);
+        if (fenced) {
+            scheduler.heartbeats().applyFencedRestart(machine, heartbeat, now);
+            machine.restartCheck.completed();
+        } else {
+            scheduler.heartbeats().applyAgentRestart(machine, heartbeat, now);
+            machine.restartCheck.request(heartbeat.incarnation());
+        }
+    }
+
     /**
      * Whether the response shows a restart of the agent: the agent wrote the response after the newest heartbeat that
      * had been received, yet the response isn't newer by incarnation and sequence number. A restarted agent counts
      * sequence numbers from the start.
      */
     private static boolean indicatesRestart(DirectCall call, Heartbeat heartbeat) {
-        return call.knownSequence().isPresent()
-                && !heartbeat.newerThan(call.incarnation(), call.knownSequence().getAsLong());
+        return call.newestKnown().isPresent()
+                && !heartbeat.newerThan(
+                        call.newestKnown().get().incarnation(),
+                        call.newestKnown().get().sequence());
     }
 }
--- a/src/main/java/org/hollypick/control/machines/HeartbeatHandler.java
+++ b/src/main/java/org/hollypick/control/machines/HeartbeatHandler.java
@@ -52,6 +52,12 @@
         if (machine == null) {
             return ServerResponse.retryLater(REJECTED_UNKNOWN_TYPE);
         }
+        if (machine.mayHaveRestarted(heartbeat)) {
+            machine.restartCheck.request(heartbeat.incarnation());
+        }
+        if (machine.restartCheck.isPending()) {
+            probe.accept(machine);
+        }
         if (machine.isOutdated(heartbeat)) {
             return ServerResponse.retryLater(REJECTED_EARLIER_INCARNATION);
         }
--- a/src/main/java/org/hollypick/core/CommandTracker.java
+++ b/src/main/java/org/hollypick/core/CommandTracker.java
@@ -30,9 +30,16 @@
      * newer token, so the next heartbeat is awaited then.
      */
     public void raiseTokenIfNeeded(Machine machine) {
-        if (machine.directCalls.directCallInFlight() || !machine.needsNewerToken()) {
-            return;
+        if (!machine.directCalls.directCallInFlight() && machine.needsNewerToken()) {
+            raiseToken(machine);
         }
+    }
+
+    /**
+     * Raises the fencing token of the machine's messages if a newer one may be used, and requests one otherwise. No
+     * direct call may be in flight: it would be refused under the newer token.
+     */
+    public void raiseToken(Machine machine) {
         if (!machine.tokens.raise(tokens.usable())) {
             tokens.requestNewer();
         }
@@ -82,6 +89,7 @@
 
     /** Records that the commands are sent in the response to a heartbeat. */
     public void sentInHeartbeatResponse(Machine machine, List<Command> commands) {
+        machine.tokens.messageSent();
         for (Command command : commands) {
             Assignment assignment = assignmentToLaunch(command, machine);
             if (assignment != null) {
@@ -93,6 +101,7 @@
     /** Records that the commands are sent in a direct call, the only one in flight to this machine. */
     public void sentDirectly(Machine machine, List<Command> commands) {
         machine.directCalls.beginDirectCall();
+        machine.tokens.messageSent();
         for (Command command : commands) {
             Assignment assignment = assignmentToLaunch(command, machine);
             if (assignment != null) {
--- a/src/main/java/org/hollypick/core/HeartbeatProcessor.java
+++ b/src/main/java/org/hollypick/core/HeartbeatProcessor.java
@@ -47,6 +47,24 @@
             scheduler.outbox().requestCycleIf(machine.awaitsHeartbeat());
             machine.heartbeatRequestReceived();
         }
+        applyState(machine, heartbeat, now);
+        return true;
+    }
+
+    /**
+     * Applies the state of an agent that has restarted without its token and sequence number, as shown by the response
+     * to the only message that carried the token in it. Tasks that aren't listed are gone, whatever launches of them
+     * are copied: the agent refuses lower tokens.
+     */
+    public void applyFencedRestart(Machine machine, Heartbeat heartbeat, long now) {
+        scheduler.recordEventTime(now);
+        machine.beginIncarnationAfterRestart(heartbeat, now);
+        machine.recordHeartbeat(heartbeat);
+        applyState(machine, heartbeat, now);
+        scheduler.outbox().requestCycle();
+    }
+
+    private void applyState(Machine machine, Heartbeat heartbeat, long now) {
         applyListedTasks(machine, heartbeat, now);
         removeUnlistedAssignments(machine);
         reconcileIfUnderToken(machine, heartbeat);
@@ -54,7 +72,6 @@
             beginGracefulEviction(machine, heartbeat.evictionNoticeS());
         }
         scheduler.outbox().addPendingCommands(machine);
-        return true;
     }
 
     /** A new incarnation starts without tasks, and its agent refuses late commands to the old one. */
@@ -133,8 +150,9 @@
 
     /**
      * Applies a restart of the agent without tasks, as shown by the response to a direct call whose heartbeat isn't
-     * newer than the newest one that had been received when the call was sent. Besides the listed tasks, the machine
-     * can only hold tasks of launches still in flight, and these only for the duration of one lease from now on.
+     * newer than the newest one that had been received when the call was sent, but whose token may have been seen
+     * before the restart. Besides the listed tasks, the machine can only hold tasks of launches still in flight and of
+     * copies of launches, and these only for the duration of one lease from now on.
      */
     public void applyAgentRestart(Machine machine, Heartbeat heartbeat, long now) {
         scheduler.recordEventTime(now);
--- a/src/main/java/org/hollypick/core/Scheduler.java
+++ b/src/main/java/org/hollypick/core/Scheduler.java
@@ -301,7 +301,7 @@
      */
     public Machine addMachine(String id, MachineType type, String zone, boolean spot, boolean registered, long now) {
         Machine machine = new Machine(id, type, zone, spot, now);
-        machine.tokens.raise(token);
+        machine.tokens.begin(token);
         if (registered) {
             machine.markRegistered();
         } else {
--- a/src/main/java/org/hollypick/core/assignment/Assignment.java
+++ b/src/main/java/org/hollypick/core/assignment/Assignment.java
@@ -217,6 +217,12 @@
         }
     }
 
+    /** Records that the agent refuses every launch that was sent until now, and that none is in flight. */
+    void earlierLaunchesRefused() {
+        directLaunchUnacknowledged = false;
+        launchInHeartbeatResponse = false;
+    }
+
     /**
      * Whether a launch command may still be executed. If the agent cleared the attempt now, a late launch would start
      * it again.
--- a/src/main/java/org/hollypick/core/assignment/Heartbeat.java
+++ b/src/main/java/org/hollypick/core/assignment/Heartbeat.java
@@ -26,12 +26,20 @@
         long token,
         double evictionNoticeS,
         List<TaskStatus> tasks) {
+    /** The token of an agent that hasn't seen any. */
+    private static final long NO_TOKEN = 0;
+
     /** Whether this heartbeat is newer than the one with the given incarnation and sequence number. */
     public boolean newerThan(long otherIncarnation, long otherSequence) {
         int byIncarnation = Long.compareUnsigned(incarnation, otherIncarnation);
         return byIncarnation > 0 || (byIncarnation == 0 && Long.compareUnsigned(sequence, otherSequence) > 0);
     }
 
+    /** Whether the agent had received no message of any leader, as just after its start. */
+    public boolean precedesAnyToken() {
+        return token == NO_TOKEN;
+    }
+
     /** Whether the cloud has announced that it will reclaim the machine. */
     public boolean hasEvictionNotice() {
         return !Double.isNaN(evictionNoticeS);
--- a/src/main/java/org/hollypick/core/assignment/Machine.java
+++ b/src/main/java/org/hollypick/core/assignment/Machine.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hollypick.config.constants.CommandTokenConstants;
+import org.hollypick.config.constants.FailureDetectionConstants;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
 import org.hollypick.core.health.HeartbeatValidity;
@@ -44,6 +45,8 @@
     public final AgentTokens tokens = new AgentTokens();
     /** The direct calls to the agent. */
     public final DirectCalls directCalls = new DirectCalls();
+    /** Whether the agent may have restarted with its first incarnation and without a token. */
+    public final RestartCheck restartCheck = new RestartCheck();
     /** Whether peers of this controller reach the machine. */
     public final PeerContact peerContact = new PeerContact();
     /** The task failures on the machine, and its quarantine. */
@@ -397,6 +400,22 @@
                         && tokens.precedesRestart(heartbeat.token()));
     }
 
+    /**
+     * Whether the heartbeat may be one of the first of an agent that has restarted without its state, rather than a
+     * late copy of one of the machine's first heartbeats: a heartbeat doesn't tell these apart. A copy of an earlier
+     * command may have shown the restarted agent a token.
+     */
+    public boolean mayHaveRestarted(Heartbeat heartbeat) {
+        boolean withoutToken = heartbeat.precedesAnyToken() && tokens.hasSeenAny();
+        return heartbeatReceived && (withoutToken || countsFromTheStart(heartbeat));
+    }
+
+    private boolean countsFromTheStart(Heartbeat heartbeat) {
+        return heartbeat.sequence() <= FailureDetectionConstants.MAX_FIRST_SEQUENCE
+                && heartbeatSequence - heartbeat.sequence() >= FailureDetectionConstants.MIN_SEQUENCE_DROP_OF_RESTART
+                && Long.compareUnsigned(heartbeat.incarnation(), incarnation) <= 0;
+    }
+
     /** Ends the known incarnation, when the agent reports another one; see {@link #awaitsHeartbeat}. */
     public void endIncarnation() {
         awaitsHeartbeat = !heartbeatInIncarnation;
@@ -415,13 +434,30 @@
 
     /**
      * Ends the known incarnation, when the response to a direct call shows that the agent has restarted without tasks.
+     * Further restarts are recorded as well: the agent's lease begins with the last one.
      */
     public void expireRestartedIncarnation(long now) {
-        incarnationExpiredAt = now;
+        if (!incarnationExpired()) {
+            incarnationExpiredAt = now;
+        }
         incarnationSeenAt = now;
         reportedTasks = List.of();
     }
 
+    /**
+     * Begins the incarnation of an agent that has restarted and counts incarnations and sequence numbers from the start
+     * again. Its first heartbeat shows a token that no earlier heartbeat of the machine shows, so these are told apart
+     * by their tokens, and all launches that were sent before are refused.
+     */
+    public void beginIncarnationAfterRestart(Heartbeat first, long now) {
+        endIncarnation();
+        beginIncarnation(now);
+        minIncarnation = first.incarnation();
+        clearHeartbeatAcknowledgement();
+        validity.agentRestarted(first);
+        assignments.values().forEach(Assignment::earlierLaunchesRefused);
+    }
+
     /**
      * Whether the agent may hold a lease: the known incarnation hasn't ended, or there are assignments. An incarnation
      * may be known only from the response to a direct call; its lease began before that response was received.
--- a/src/main/java/org/hollypick/core/health/HeartbeatValidity.java
+++ b/src/main/java/org/hollypick/core/health/HeartbeatValidity.java
@@ -59,6 +59,17 @@
         return same && awaitsResponse ? Freshness.REPEATED : Freshness.OUTDATED;
     }
 
+    /**
+     * Begins anew with the state of a restarted agent, which counts incarnations and sequence numbers from the start.
+     */
+    public void agentRestarted(Heartbeat first) {
+        newestIncarnation = first.incarnation();
+        newestSequence = first.sequence();
+        responseSent = false;
+        sentCommands = List.of();
+        deliveryConfirmed();
+    }
+
     /** When the newest heartbeat was first received, in milliseconds. */
     public long newestReceivedAt() {
         return newestReceivedAt;
--- a/src/test/java/org/hollypick/core/health/HeartbeatValidityTest.java
+++ b/src/test/java/org/hollypick/core/health/HeartbeatValidityTest.java
@@ -246,6 +246,60 @@
         assertFalse(machine.schedulable());
     }
 
+    /** Guards against late heartbeats from before a restart that pass for the restarted agent's newest one. */
+    @Test
+    void heartbeatsFromBeforeAFencedRestartAreIgnored() {
+        Machine machine = machine("n-1", true);
+        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 50, TOKEN), true, 0);
+        Job job = job(TOKEN);
+        scheduler.runSchedulingCycle(0);
+        Assignment assignment = job.assignments.get(0);
+        TaskStatus running = new TaskStatus(assignment.taskId, assignment.attempt, Assignment.State.RUNNING, "");
+        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 51, TOKEN, running), true, 500);
+        scheduler.heartbeats().applyFencedRestart(machine, heartbeat(1, 2, TOKEN + 1), 1_000);
+        assertTrue(job.pendingTasks.get(0));
+        assertTrue(machine.schedulable());
+        assertFalse(scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 52, TOKEN, running), true, 1_100));
+        assertTrue(machine.assignments.isEmpty());
+        assertTrue(scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 3, TOKEN + 1), true, 1_200));
+    }
+
+    /** Guards against a task on a restarted agent that the leader neither lists nor kills until the lease expires. */
+    @Test
+    void taskThatACopyStartedOnAFencedAgentIsKilled() {
+        Machine machine = machine("n-1", true);
+        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 50, TOKEN), true, 0);
+        TaskStatus running = new TaskStatus("req-9/0", 77, Assignment.State.RUNNING, "");
+        scheduler.heartbeats().applyFencedRestart(machine, heartbeat(1, 2, TOKEN + 1, running), 1_000);
+        assertEquals(
+                List.of(new Command(Command.Verb.KILL, "req-9/0", 77, 0)),
+                scheduler.commands().pendingCommands(machine));
+    }
+
+    /** Guards against restarts that stay unnoticed because a copy of a command has shown the agent a token. */
+    @Test
+    void lowSequenceNumbersSuggestARestart() {
+        Machine machine = machine("n-1", true);
+        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(2, 50, TOKEN), true, 0);
+        assertTrue(machine.mayHaveRestarted(heartbeat(1, 1, 0)));
+        assertTrue(machine.mayHaveRestarted(heartbeat(1, 2, TOKEN)));
+        assertTrue(machine.mayHaveRestarted(heartbeat(2, 2, TOKEN - 1)));
+        assertFalse(machine.mayHaveRestarted(heartbeat(2, 49, TOKEN)));
+        assertFalse(machine.mayHaveRestarted(heartbeat(2, 51, TOKEN)));
+        assertFalse(machine.mayHaveRestarted(heartbeat(3, 1, TOKEN)));
+    }
+
+    /** Guards against a second restart within a lease after which the agent's lease counted from the first one. */
+    @Test
+    void leaseOfAnAgentThatRestartsTwiceCountsFromTheLastRestart() {
+        Machine machine = machine("n-1", true);
+        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 50, TOKEN), true, 0);
+        scheduler.heartbeats().applyAgentRestart(machine, heartbeat(1, 2, TOKEN), 1_000);
+        scheduler.heartbeats().applyAgentRestart(machine, heartbeat(1, 2, TOKEN), 9_000);
+        assertEquals(9_000, machine.leaseStartedAt());
+        assertEquals(1_000, machine.incarnationExpiredAt());
+    }
+
     /** Tasks were assigned to a machine that no longer existed, because a delayed copy of its heartbeat arrived. */
     @Test
     void machineIsSchedulableOnlyAfterItShowsTheCurrentToken() {
--- a/src/test/java/org/hollypick/sim/FakeAgent.java
+++ b/src/test/java/org/hollypick/sim/FakeAgent.java
@@ -180,13 +180,20 @@
      * @param losesState whether the new process starts with the first incarnation and no fencing token
      */
     void restart(long downtimeMs, boolean losesState) {
+        restart(downtimeMs, losesState, false);
+    }
+
+    /** As {@link #restart(long, boolean)}; {@code keepsImages}: whether the images are on the machine's disk. */
+    void restart(long downtimeMs, boolean losesState, boolean keepsImages) {
         if (isTerminated || isDown || isHung) {
             return;
         }
         isDown = true;
         restartCount++;
         tasks.loseAll();
-        tasks.discardImages();
+        if (!keepsImages) {
+            tasks.discardImages();
+        }
         world.schedule(downtimeMs, () -> {
             isDown = false;
             isHeartbeatInFlight = false;
--- a/src/test/java/org/hollypick/sim/InboundReachabilityTest.java
+++ b/src/test/java/org/hollypick/sim/InboundReachabilityTest.java
@@ -4,10 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
+import org.hollypick.io.Request;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -200,7 +204,9 @@
         }
     }
 
-    /** Advances until the team had capacity left under its quota for the given time: at its quota, jobs have to wait. */
+    /**
+     * Advances until the team had capacity left under its quota for the given time: at its quota, jobs have to wait.
+     */
     private static void advanceBelowQuota(ClusterScenario scenario, long durationMs) {
         long remainingMs = durationMs;
         while (remainingMs > 0) {
@@ -239,6 +245,65 @@
         }
     }
 
+    /**
+     * Guards against a flood of late first heartbeats, which look like those of restarted agents, using up the calls.
+     */
+    @Test
+    void lateCopiesOfFirstHeartbeatsCauseFewDirectCalls() {
+        for (int seed = 1; seed <= 3; seed++) {
+            ClusterScenario scenario = new ClusterScenario(seed, 4);
+            Map<String, Request> firstHeartbeats = new HashMap<>();
+            scenario.world.heartbeatObserver = heartbeat ->
+                    firstHeartbeats.putIfAbsent(heartbeat.body().path("bothy").asText(), heartbeat);
+            scenario.advance(5_000);
+            scenario.workload.submitUncancelledServices(3);
+            scenario.advance(40_000);
+            AtomicInteger callsWithoutCommands = new AtomicInteger();
+            scenario.world.requestObserver = scenario.world.requestObserver.andThen((from, call) -> {
+                if (call.path().equals("/commands")
+                        && call.body().path("orders").isEmpty()) {
+                    callsWithoutCommands.incrementAndGet();
+                }
+            });
+            scenario.workload.submitBatchJobs(12, 15_000);
+            int agents = firstHeartbeats.size();
+            for (int atMs = 0; atMs < 20_000; atMs += 50) {
+                scenario.world.schedule(
+                        atMs,
+                        () -> firstHeartbeats
+                                .values()
+                                .forEach(heartbeat ->
+                                        scenario.world.deliverIgnoringResponse(heartbeat, heartbeat.address())));
+            }
+            scenario.advance(20_000);
+            int calls = callsWithoutCommands.get();
+            assertTrue(calls >= agents, "seed " + seed + ": only " + calls + " checks of " + agents + " agents");
+            assertTrue(calls <= 2 * 20 * (agents + 6), "seed " + seed + ": " + calls + " calls to " + agents);
+            scenario.advance(100_000);
+            assertBatchJobsTerminalWithoutViolations(scenario, seed);
+        }
+    }
+
+    /** Guards against a restarted agent without state that gets no work until its lease has expired. */
+    @Test
+    void replicasOnAgentsThatLostTheirStateRunAgainWithinEightSeconds() {
+        for (int seed = 1; seed <= 6; seed++) {
+            ClusterScenario scenario = newScenario(seed);
+            List<FakeAgent> agents = scenario.cloud.agents().stream()
+                    .filter(agent -> agent.activeTasks() > 0)
+                    .toList();
+            int runningBefore = scenario.checker.tasks.runningCount();
+            agents.forEach(agent -> {
+                agent.restartListener = FakeAgent::statusChanged;
+                agent.restart(200, true);
+            });
+            scenario.advance(8_000);
+            assertEquals(runningBefore, scenario.checker.tasks.runningCount(), "seed " + seed);
+            scenario.advance(30_000);
+            assertEquals(List.of(), scenario.checker.violations, "seed " + seed);
+        }
+    }
+
     /**
      * Guards against a controller that reports itself ready although it can't answer users while it is partitioned from
      * the store and its peers.
--- a/src/test/java/org/hollypick/sim/RepeatedRequests.java
+++ b/src/test/java/org/hollypick/sim/RepeatedRequests.java
@@ -34,6 +34,8 @@
     double probabilityAfterClear;
     /** The probability that, after a restart of an agent, the launches sent to it before arrive once more. */
     double probabilityAfterRestart;
+    /** How long after a restart of an agent the first copies arrive. */
+    int delayAfterRestartMs;
 
     int deliveredCopies;
 
@@ -45,8 +47,9 @@
 
     /** Lets calls to the agent arrive once more after it cleared an attempt, and after it restarted. */
     void observe(FakeAgent agent) {
-        agent.clearListener = cleared -> repeatLaunches(cleared.address, probabilityAfterClear);
-        agent.restartListener = restarted -> repeatLaunches(restarted.address, probabilityAfterRestart);
+        agent.clearListener = cleared -> repeatLaunches(cleared.address, probabilityAfterClear, 0);
+        agent.restartListener =
+                restarted -> repeatLaunches(restarted.address, probabilityAfterRestart, delayAfterRestartMs);
     }
 
     private void answered(Request request, Response response) {
@@ -64,8 +67,8 @@
         }
     }
 
-    /** Delivers all recent calls with launches to the address once more, each within a second. */
-    private void repeatLaunches(String address, double chance) {
+    /** Delivers all recent calls with launches to the address once more, each within a second after the delay. */
+    private void repeatLaunches(String address, double chance, int delayMs) {
         if (chance == 0 || random.nextDouble() >= chance) {
             return;
         }
@@ -75,7 +78,7 @@
             AnsweredRequest next = answered.next();
             if (world.now - next.answeredAt < MAX_AGE_MS && AgentProtocol.isLaunch(next.request)) {
                 answered.remove();
-                deliverLater(next.request, 1 + random.nextInt(MAX_DELAY_AFTER_TRIGGER_MS));
+                deliverLater(next.request, delayMs + 1 + random.nextInt(MAX_DELAY_AFTER_TRIGGER_MS));
             }
         }
     }
--- a/src/test/java/org/hollypick/sim/RepeatedRequestsTest.java
+++ b/src/test/java/org/hollypick/sim/RepeatedRequestsTest.java
@@ -24,6 +24,8 @@
 
     private static final int FIRST_SEED = Integer.getInteger("repeated-requests.first", 1);
     private static final long FAULTS_END_AT_MS = 160_000;
+    /** Within this time after its restart, an agent has sent a heartbeat and the leader has responded to it. */
+    private static final int HEARTBEAT_AFTER_RESTART_MS = 700;
 
     /** What happens in a scenario besides the copies. */
     private enum Disruption {
@@ -32,17 +34,25 @@
         LEADER_CRASHES,
         LOST_LEASES,
         AGENT_RESTARTS,
-        AGENT_RESTARTS_WITHOUT_STATE
+        AGENT_RESTARTS_WITHOUT_STATE,
+        AGENT_RESTARTS_WITH_IMAGES_ONLY
     }
 
     /** A scenario with short tasks, half of them cancelled, in which every clear is followed by copies of launches. */
     private static ClusterScenario runWithCopiesAfterClears(
             int seed, Disruption disruption, Consumer<FakeAgent> alteration) {
         ClusterScenario scenario = new ClusterScenario(seed);
-        scenario.users.cancelOneIn = 2;
         RepeatedRequests copies = new RepeatedRequests(scenario.world, seed);
         copies.probabilityAfterClear = 1;
         copies.probabilityAfterRestart = 1;
+        run(scenario, copies, disruption, alteration);
+        assertTrue(copies.deliveredCopies > 0, "seed " + seed + ": no copy was delivered");
+        return scenario;
+    }
+
+    private static void run(
+            ClusterScenario scenario, RepeatedRequests copies, Disruption disruption, Consumer<FakeAgent> alteration) {
+        scenario.users.cancelOneIn = 2;
         scenario.cloud.bootListener = agent -> {
             copies.observe(agent);
             alteration.accept(agent);
@@ -55,8 +65,6 @@
             scenario.world.schedule(atMs, () -> disrupt(scenario, disruption));
         }
         scenario.advance(200_000);
-        assertTrue(copies.deliveredCopies > 0, "seed " + seed + ": no copy was delivered");
-        return scenario;
     }
 
     private static void disrupt(ClusterScenario scenario, Disruption disruption) {
@@ -69,6 +77,7 @@
             case LOST_LEASES -> agents.forEach(agent -> scenario.network.isolate(agent, scenario.agentLeaseMs + 1_000));
             case AGENT_RESTARTS -> agents.forEach(agent -> agent.restart(200, false));
             case AGENT_RESTARTS_WITHOUT_STATE -> agents.forEach(agent -> agent.restart(200, true));
+            case AGENT_RESTARTS_WITH_IMAGES_ONLY -> agents.forEach(agent -> agent.restart(200, true, true));
             default -> {}
         }
     }
@@ -84,30 +93,65 @@
         for (Disruption disruption : disruptions) {
             for (int seed = FIRST_SEED; seed < FIRST_SEED + SCENARIOS; seed++) {
                 ClusterScenario scenario = runWithCopiesAfterClears(seed, disruption, agent -> {});
-                List<String> found = new ArrayList<>(scenario.checker.violations);
-                found.addAll(relaunchedAttempts(scenario));
-                found.addAll(scenario.checker.tasks.startsAfterCancellation);
-                if (!found.isEmpty()) {
-                    failures.put(disruption + " seed " + seed, found);
-                }
+                addFailures(failures, disruption + " seed " + seed, scenario);
             }
         }
         return failures;
     }
 
+    private static void addFailures(Map<String, List<String>> failures, String run, ClusterScenario scenario) {
+        List<String> found = new ArrayList<>(scenario.checker.violations);
+        found.addAll(relaunchedAttempts(scenario));
+        found.addAll(scenario.checker.tasks.startsAfterCancellation);
+        if (!found.isEmpty()) {
+            failures.put(run, found);
+        }
+    }
+
     @Test
     void copyOfAnAnsweredLaunchDoesNotStartAClearedAttemptAgain() {
-        Set<Disruption> disruptions = EnumSet.complementOf(EnumSet.of(Disruption.AGENT_RESTARTS_WITHOUT_STATE));
+        Set<Disruption> disruptions = EnumSet.complementOf(
+                EnumSet.of(Disruption.AGENT_RESTARTS_WITHOUT_STATE, Disruption.AGENT_RESTARTS_WITH_IMAGES_ONLY));
         assertEquals(Map.of(), failuresWithCopiesAfterClears(disruptions));
     }
 
-    /** Not an agent of the protocol, which keeps its token and its incarnation: nothing is left to refuse a copy by. */
+    /** Guards against tasks of copies that go on fetching their image once the agent has sent a heartbeat. */
     @Test
-    @Tag("known-red")
     void copyOfAnAnsweredLaunchStartsNothingOnAnAgentThatLostItsTokenAndIncarnation() {
         assertEquals(Map.of(), failuresWithCopiesAfterClears(Set.of(Disruption.AGENT_RESTARTS_WITHOUT_STATE)));
     }
 
+    /** Before its first message such an agent has nothing to refuse a copy by, and with the image it starts at once. */
+    @Test
+    @Tag("known-red")
+    void copyBeforeTheFirstHeartbeatStartsNothingOnAnAgentThatKeptItsImagesOnly() {
+        assertEquals(Map.of(), failuresWithCopiesAfterClears(Set.of(Disruption.AGENT_RESTARTS_WITH_IMAGES_ONLY)));
+    }
+
+    /**
+     * Guards against a leader that leaves a restarted agent without a newer token, so that copies start tasks there.
+     */
+    @Test
+    void copyOfAnAnsweredLaunchStartsNothingOnceARestartedAgentHasSentAHeartbeat() {
+        Map<String, List<String>> failures = new TreeMap<>();
+        int copiesDelivered = 0;
+        for (int seed = FIRST_SEED; seed < FIRST_SEED + SCENARIOS; seed++) {
+            ClusterScenario scenario = new ClusterScenario(seed);
+            RepeatedRequests copies = new RepeatedRequests(scenario.world, seed);
+            copies.probabilityAfterRestart = 1;
+            copies.delayAfterRestartMs = HEARTBEAT_AFTER_RESTART_MS;
+            run(
+                    scenario,
+                    copies,
+                    Disruption.AGENT_RESTARTS_WITHOUT_STATE,
+                    agent -> agent.restartListener = agent.restartListener.andThen(FakeAgent::statusChanged));
+            addFailures(failures, "seed " + seed, scenario);
+            copiesDelivered += copies.deliveredCopies;
+        }
+        assertEquals(Map.of(), failures);
+        assertTrue(copiesDelivered > 10 * SCENARIOS, "only " + copiesDelivered + " copies");
+    }
+
     @Test
     void checkerDetectsAgentsThatExecuteCopiesOfFencedLaunches() {
         boolean detected = false;
