--- a/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
+++ b/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
@@ -1,7 +1,6 @@
 package org.hollypick.control.machines;
 
 import java.util.List;
-import java.util.Optional;
 import org.hollypick.agent.AgentClient;
 import org.hollypick.agent.AgentResponse;
 import org.hollypick.config.constants.FailureDetectionConstants;
@@ -30,38 +29,12 @@
     private final AgentClient agentClient;
     private final LocalHealth localHealth;
     private final DirectCallLimiter limiter;
+    private final AgentRestartHandler restartHandler;
     private final Runnable onCallCompleted;
 
     /** The direct calls in flight that check for a restart of the agent. */
     private int restartChecksInFlight;
 
-    /** The newest incarnation and sequence number received from a machine. */
-    private record HeartbeatNumber(long incarnation, long sequence) {
-        static Optional<HeartbeatNumber> newestOf(Machine machine) {
-            return machine.heartbeatReceived()
-                    ? Optional.of(new HeartbeatNumber(machine.incarnation(), machine.heartbeatSequence()))
-                    : Optional.empty();
-        }
-    }
-
-    /**
-     * A direct call in flight.
-     *
-     * @param incarnation the agent's incarnation that the commands are for
-     * @param newestKnown the newest number received from the machine at the time of sending; empty if there was none
-     * @param toUnresponsive whether the machine was unresponsive at the time of sending
-     * @param token the fencing token that the call carries
-     * @param startedAt when the call was sent, in milliseconds
-     */
-    private record DirectCall(
-            Machine machine,
-            List<Command> commands,
-            long incarnation,
-            Optional<HeartbeatNumber> newestKnown,
-            long token,
-            boolean toUnresponsive,
-            long startedAt) {}
-
     /** Creates the dispatcher; {@code onCallCompleted} runs after the result of each call was applied. */
     CommandDispatcher(TermContext term, AgentClient agentClient, LocalHealth localHealth, Runnable onCallCompleted) {
         this.term = term;
@@ -69,6 +42,7 @@
         this.agentClient = agentClient;
         this.localHealth = localHealth;
         this.limiter = new DirectCallLimiter(localHealth);
+        this.restartHandler = new AgentRestartHandler(scheduler);
         this.onCallCompleted = onCallCompleted;
     }
 
@@ -147,7 +121,7 @@
                 machine,
                 commands,
                 incarnation,
-                HeartbeatNumber.newestOf(machine),
+                DirectCall.HeartbeatNumber.newestOf(machine),
                 machine.tokens.sent(),
                 toUnresponsive,
                 term.now());
@@ -234,8 +208,8 @@
         machine.validity.deliveryConfirmed();
         scheduler.heartbeats().confirmLive(machine);
         HeartbeatHandler.apply(scheduler, machine, heartbeat, false, now);
-        if (indicatesRestart(call, heartbeat)) {
-            applyRestart(call, heartbeat, now);
+        if (call.showsRestart(heartbeat)) {
+            restartHandler.agentRestarted(call, heartbeat, now);
         } else if (wasRestartCheck) {
             machine.restartCheck.completed();
         }
@@ -243,41 +217,4 @@
             call(machine, true);
         }
     }
-
-    /**
-     * Applies the state of a restarted agent. Unless this call alone carried the token that the agent shows, late
-     * heartbeats from before the restart might pass for newer ones, and the agent is checked again under a newer token.
-     */
-    private void applyRestart(DirectCall call, Heartbeat heartbeat, long now) {
-        Machine machine = call.machine();
-        boolean fenced = heartbeat.token() == call.token() && machine.tokens.carriedByOneMessageOnly(call.token());
-        HeartbeatNumber known = call.newestKnown().orElseThrow();
-        LOG.info(
-                "agent.restarted machine={} incarnation={} sequence={} known_incarnation={} known_sequence={} fenced={}",
-                machine.id,
-                heartbeat.incarnation(),
-                heartbeat.sequence(),
-                known.incarnation(),
-                known.sequence(),
-                fenced);
-        if (fenced) {
-            scheduler.heartbeats().applyFencedRestart(machine, heartbeat, now);
-            machine.restartCheck.completed();
-        } else {
-            scheduler.heartbeats().applyAgentRestart(machine, heartbeat, now);
-            machine.restartCheck.request(heartbeat.incarnation());
-        }
-    }
-
-    /**
-     * Whether the response shows a restart of the agent: the agent wrote the response after the newest heartbeat that
-     * had been received, yet the response isn't newer by incarnation and sequence number. A restarted agent counts
-     * sequence numbers from the start.
-     */
-    private static boolean indicatesRestart(DirectCall call, Heartbeat heartbeat) {
-        return call.newestKnown().isPresent()
-                && !heartbeat.newerThan(
-                        call.newestKnown().get().incarnation(),
-                        call.newestKnown().get().sequence());
-    }
 }
--- a/src/main/java/org/hollypick/core/assignment/Machine.java
+++ b/src/main/java/org/hollypick/core/assignment/Machine.java
@@ -95,9 +95,7 @@
     private List<TaskStatus> reportedTasks = List.of();
     public final Object2LongOpenHashMap<String> images = new Object2LongOpenHashMap<>();
 
-    private double usedCpus;
-    private double usedGpus;
-    private double usedMemoryGb;
+    private final ResourceUsage usage = new ResourceUsage();
     /**
      * Totals over the assignments that may exist here: the number of all, the number of those still starting, and the
      * cores of services.
@@ -544,7 +542,7 @@
     public void allocate(Assignment assignment) {
         if (!assignment.holdsResources) {
             assignment.holdsResources = true;
-            adjustUsage(assignment, 1);
+            usage.add(assignment.spec);
         }
     }
 
@@ -555,37 +553,28 @@
     public void release(Assignment assignment) {
         if (assignment.holdsResources) {
             assignment.holdsResources = false;
-            adjustUsage(assignment, -1);
+            usage.remove(assignment.spec);
         }
     }
 
-    private void adjustUsage(Assignment assignment, int sign) {
-        usedCpus += sign * assignment.spec.cpus();
-        usedGpus += sign * assignment.spec.gpus();
-        usedMemoryGb += sign * assignment.spec.memoryGb();
-    }
-
     /** The cores allocated to assignments. */
     public double usedCpus() {
-        return usedCpus;
+        return usage.cpus();
     }
 
     /** The GPUs allocated to assignments. */
     public double usedGpus() {
-        return usedGpus;
+        return usage.gpus();
     }
 
     /** The gigabytes of memory allocated to assignments. */
     public double usedMemoryGb() {
-        return usedMemoryGb;
+        return usage.memoryGb();
     }
 
     /** Whether the free resources are enough for a task of the job. */
     public boolean hasRoom(JobSpec job) {
-        double slack = 1e-6; // for rounding errors in sums of decimal amounts
-        return usedCpus + job.cpus() <= type.cpus() + slack
-                && usedGpus + job.gpus() <= type.gpus() + slack
-                && usedMemoryGb + job.memoryGb() <= type.memoryGb() + slack;
+        return usage.leavesRoomFor(job, type);
     }
 
     /** Whether new tasks may be assigned to the machine. */
