Share the copying of states and the search by key among the models

Change: CopyableState copies a state for a transition, with a hook for what a copy must not share and one for what follows a transition; StateSearch.runByKey keeps the visited keys. Six models use the first, five the second.

--- a/src/test/java/org/hollypick/model/AnswerConsistencyModelTest.java
+++ b/src/test/java/org/hollypick/model/AnswerConsistencyModelTest.java
@@ -4,10 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Arrays;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.hollypick.model.StateSearch.Result;
 import org.hollypick.model.StateSearch.Successors;
 import org.junit.jupiter.api.Test;
@@ -84,7 +81,7 @@
     }
 
     /** One state of the model; copied for each transition, and not changed once passed to the search. */
-    private static final class State implements Cloneable {
+    private static final class State extends CopyableState<State> {
         /** The store's revision. */
         int revision;
         /** The revisions at which the job was created and ended and the leader changed; 0 for not yet. */
@@ -130,15 +127,9 @@
         /** An answer was older than another one given before it, in whatever order their requests were sent. */
         boolean answersOutOfOrder;
 
-        State after(Consumer<State> transition) {
-            try {
-                State copy = (State) clone();
-                copy.appliedRevisions = appliedRevisions.clone();
-                transition.accept(copy);
-                return copy;
-            } catch (CloneNotSupportedException e) {
-                throw new AssertionError(e);
-            }
+        @Override
+        void detach() {
+            appliedRevisions = appliedRevisions.clone();
         }
 
         StateKey.Packed key() {
@@ -468,12 +459,11 @@
     }
 
     private static Result<State> search(Fault fault, boolean checkArrivalOrder) {
-        Set<StateKey.Packed> visitedKeys = new HashSet<>();
-        return StateSearch.run(
+        return StateSearch.runByKey(
                 List.of(new State()),
                 (state, successors) -> addSuccessors(state, fault, successors),
                 state -> state.olderAnswerGiven || (checkArrivalOrder && state.answersOutOfOrder),
-                state -> visitedKeys.add(state.key()));
+                State::key);
     }
 
     @Test
--- a/src/test/java/org/hollypick/model/CancellationModelTest.java
+++ b/src/test/java/org/hollypick/model/CancellationModelTest.java
@@ -69,7 +69,7 @@
     }
 
     /** One state of the model; copied for each transition, and not changed once passed to the search. */
-    private static final class State implements Cloneable {
+    private static final class State extends CopyableState<State> {
         int now;
         boolean storeReachable = true;
         /** Until when the first leader assumes that its store session is valid. */
@@ -131,16 +131,6 @@
         /** The invariant that this state violates, null if none. */
         Violation violation;
 
-        State after(Consumer<State> transition) {
-            try {
-                State copy = (State) clone();
-                transition.accept(copy);
-                return copy;
-            } catch (CloneNotSupportedException e) {
-                throw new AssertionError(e);
-            }
-        }
-
         /** Packs everything that affects which states may follow into 64 bits. */
         long key() {
             long key = 0;
--- a/src/test/java/org/hollypick/model/QuotaModelTest.java
+++ b/src/test/java/org/hollypick/model/QuotaModelTest.java
@@ -5,11 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.EnumMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.hollypick.model.StateSearch.Result;
 import org.hollypick.model.StateSearch.Successors;
 import org.junit.jupiter.api.Test;
@@ -261,7 +258,7 @@
     private record HeartbeatCopy(int machine, int tasks, boolean reportsDone) {}
 
     /** One state of the model; copied for each transition, and not changed once passed to the search. */
-    private static final class State implements Cloneable {
+    private static final class State extends CopyableState<State> {
         final int quota;
         int now;
         int leader = FIRST;
@@ -294,17 +291,15 @@
             this.quota = quota;
         }
 
-        State after(Consumer<State> transition) {
-            try {
-                State copy = (State) clone();
-                copy.machines = new Machine[] {machines[0].copy(), machines[1].copy()};
-                transition.accept(copy);
-                copy.checkInvariants();
-                copy.normalize();
-                return copy;
-            } catch (CloneNotSupportedException e) {
-                throw new AssertionError(e);
-            }
+        @Override
+        void detach() {
+            machines = new Machine[] {machines[0].copy(), machines[1].copy()};
+        }
+
+        @Override
+        void transitionApplied() {
+            checkInvariants();
+            normalize();
         }
 
         /** Resets values that no longer affect which states may follow, to reduce the number of states. */
@@ -686,12 +681,11 @@
         State secondRuns = withRunningTask(new State(1), 1, ENDING_TASK);
         State bothRun = withRunningTask(withRunningTask(new State(2), 0, CANCELLED_TASK), 1, ENDING_TASK);
         State bothRunAndThirdPends = bothRun.after(next -> next.submittedUnderToken = FIRST);
-        Set<StateKey.Packed> visitedKeys = new HashSet<>();
-        return StateSearch.run(
+        return StateSearch.runByKey(
                 List.of(bothRun, bothRunAndThirdPends, secondRuns),
                 (state, successors) -> addSuccessors(state, fault, successors),
                 state -> state.violation != null,
-                state -> visitedKeys.add(state.key()));
+                State::key);
     }
 
     @Test
--- a/src/test/java/org/hollypick/model/RegistrationModelTest.java
+++ b/src/test/java/org/hollypick/model/RegistrationModelTest.java
@@ -3,10 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.hollypick.model.StateSearch.Result;
 import org.hollypick.model.StateSearch.Successors;
 import org.junit.jupiter.api.Test;
@@ -58,7 +55,7 @@
     }
 
     /** One state of the model; copied for each transition, and not changed once passed to the search. */
-    private static final class State implements Cloneable {
+    private static final class State extends CopyableState<State> {
         int now;
         int leader = FIRST;
         int termStart;
@@ -125,15 +122,9 @@
         /** The task runs on the new machine although it was started on the other one: the invariant is violated. */
         boolean ranOnTwoMachines;
 
-        State after(Consumer<State> transition) {
-            try {
-                State copy = (State) clone();
-                transition.accept(copy);
-                copy.ranOnTwoMachines = copy.taskRunning && copy.startedElsewhere;
-                return copy;
-            } catch (CloneNotSupportedException e) {
-                throw new AssertionError(e);
-            }
+        @Override
+        void transitionApplied() {
+            ranOnTwoMachines = taskRunning && startedElsewhere;
         }
 
         StateKey.Packed key() {
@@ -501,12 +492,11 @@
     }
 
     private static Result<State> search(Fault fault) {
-        Set<StateKey.Packed> visitedKeys = new HashSet<>();
-        return StateSearch.run(
+        return StateSearch.runByKey(
                 List.of(new State()),
                 (state, successors) -> addSuccessors(state, fault, successors),
                 state -> state.ranOnTwoMachines,
-                state -> visitedKeys.add(state.key()));
+                State::key);
     }
 
     @Test
--- a/src/test/java/org/hollypick/model/RepeatedLaunchModelTest.java
+++ b/src/test/java/org/hollypick/model/RepeatedLaunchModelTest.java
@@ -5,11 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.EnumMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.hollypick.model.StateSearch.Result;
 import org.hollypick.model.StateSearch.Successors;
 import org.junit.jupiter.api.Test;
@@ -66,7 +63,7 @@
     }
 
     /** One state of the model; copied for each transition, and not changed once passed to the search. */
-    private static final class State implements Cloneable {
+    private static final class State extends CopyableState<State> {
         // The agent.
         Attempt attempt = Attempt.RUNNING;
         int agentToken = LAUNCH_TOKEN;
@@ -93,16 +90,10 @@
         boolean cancellationConfirmed;
         Violation violation;
 
-        State after(Consumer<State> transition) {
-            try {
-                State copy = (State) clone();
-                transition.accept(copy);
-                if (copy.violation == null && copy.attempt == Attempt.RUNNING && copy.startedElsewhere) {
-                    copy.violation = Violation.RAN_ON_TWO_MACHINES;
-                }
-                return copy;
-            } catch (CloneNotSupportedException e) {
-                throw new AssertionError(e);
+        @Override
+        void transitionApplied() {
+            if (violation == null && attempt == Attempt.RUNNING && startedElsewhere) {
+                violation = Violation.RAN_ON_TWO_MACHINES;
             }
         }
 
@@ -283,12 +274,11 @@
     }
 
     private static Result<State> search(Fault fault) {
-        Set<StateKey.Packed> visitedKeys = new HashSet<>();
-        return StateSearch.run(
+        return StateSearch.runByKey(
                 List.of(new State()),
                 (state, successors) -> addSuccessors(state, fault, successors),
                 state -> state.violation != null,
-                state -> visitedKeys.add(state.key()));
+                State::key);
     }
 
     @Test
--- a/src/test/java/org/hollypick/model/RestartedAgentModelTest.java
+++ b/src/test/java/org/hollypick/model/RestartedAgentModelTest.java
@@ -5,11 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.EnumMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.function.Consumer;
 import org.hollypick.model.StateSearch.Result;
 import org.hollypick.model.StateSearch.Successors;
 import org.junit.jupiter.api.Test;
@@ -59,7 +56,7 @@
     private record Call(int token, int knownSequence) {}
 
     /** One state of the model; copied for each transition, and not changed once passed to the search. */
-    private static final class State implements Cloneable {
+    private static final class State extends CopyableState<State> {
         // The agent.
         int process;
         int sequence = KNOWN_SEQUENCE;
@@ -87,16 +84,6 @@
 
         Violation violation;
 
-        State after(Consumer<State> transition) {
-            try {
-                State copy = (State) clone();
-                transition.accept(copy);
-                return copy;
-            } catch (CloneNotSupportedException e) {
-                throw new AssertionError(e);
-            }
-        }
-
         StateKey.Packed key() {
             StateKey key = new StateKey().number(process, 2).number(sequence, 3).number(agentToken, 2);
             key.number(Message.packed(heartbeat), Message.BITS);
@@ -303,12 +290,11 @@
     }
 
     private static Result<State> search(Fault fault) {
-        Set<StateKey.Packed> visitedKeys = new HashSet<>();
-        return StateSearch.run(
+        return StateSearch.runByKey(
                 List.of(new State()),
                 (state, successors) -> addSuccessors(state, fault, successors),
                 state -> state.violation != null,
-                state -> visitedKeys.add(state.key()));
+                State::key);
     }
 
     @Test
--- a/src/test/java/org/hollypick/model/StateSearch.java
+++ b/src/test/java/org/hollypick/model/StateSearch.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -81,6 +84,16 @@
         return new StateSearch<>(addSuccessors, violatesInvariant, markVisited).run(initialStates);
     }
 
+    /** Searches from the given initial states; states with the same key count as one. */
+    static <S> Result<S> runByKey(
+            List<S> initialStates,
+            BiConsumer<S, Successors<S>> addSuccessors,
+            Predicate<S> violatesInvariant,
+            Function<S, StateKey.Packed> keyOf) {
+        Set<StateKey.Packed> visitedKeys = new HashSet<>();
+        return run(initialStates, addSuccessors, violatesInvariant, state -> visitedKeys.add(keyOf.apply(state)));
+    }
+
     private Result<S> run(List<S> initialStates) {
         initialStates.forEach(s -> visit(new Node<>(s, "", null)));
         while (!frontier.isEmpty() && violating == null) {
