Name what the tests of restarted agents repeat

Cause: three tests of HeartbeatValidityTest spelt out how a task comes to run; two tests had the agents' protocol as literals, and the bound on calls as bare numbers.

Change: startTask and running; the constants of AgentProtocol; names for the bound, which is the same: 40 calls for each agent in 20 s.

--- a/src/test/java/org/hollypick/core/health/HeartbeatValidityTest.java
+++ b/src/test/java/org/hollypick/core/health/HeartbeatValidityTest.java
@@ -178,6 +178,20 @@
         assertEquals(current, job.assignments.get(0).machine);
     }
 
+    /** Starts the job's task on the machine, whose agent sends two heartbeats; the second one lists it as running. */
+    private Assignment startTask(Machine machine, Job job, long sequence) {
+        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, sequence, TOKEN), true, 0);
+        scheduler.runSchedulingCycle(0);
+        Assignment assignment = job.assignments.get(0);
+        Heartbeat second = heartbeat(1, sequence + 1, TOKEN, running(assignment));
+        scheduler.heartbeats().applyHeartbeat(machine, second, true, 500);
+        return assignment;
+    }
+
+    private static TaskStatus running(Assignment assignment) {
+        return new TaskStatus(assignment.taskId, assignment.attempt, Assignment.State.RUNNING, "");
+    }
+
     /**
      * A heartbeat from before a restart has a larger sequence number. Accepted as the newest, it made the tasks started
      * since seem lost, and they were started again elsewhere.
@@ -185,21 +199,8 @@
     @Test
     void heartbeatWithAHigherSequenceAndALowerTokenIsRejected() {
         Machine machine = machine("n-1", true);
-        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 5, TOKEN), true, 0);
         Job job = job(TOKEN);
-        scheduler.runSchedulingCycle(0);
-        Assignment assignment = job.assignments.get(0);
-        scheduler
-                .heartbeats()
-                .applyHeartbeat(
-                        machine,
-                        heartbeat(
-                                1,
-                                6,
-                                TOKEN,
-                                new TaskStatus(assignment.taskId, assignment.attempt, Assignment.State.RUNNING, "")),
-                        true,
-                        1_000);
+        Assignment assignment = startTask(machine, job, 5);
         assertFalse(scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 99, 3), true, 2_000));
         assertEquals(assignment, job.assignments.get(0));
     }
@@ -226,21 +227,8 @@
     @Test
     void tasksOfARestartedAgentArePendingAgain() {
         Machine machine = machine("n-1", true);
-        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 50, TOKEN), true, 0);
         Job job = job(TOKEN);
-        scheduler.runSchedulingCycle(0);
-        Assignment assignment = job.assignments.get(0);
-        scheduler
-                .heartbeats()
-                .applyHeartbeat(
-                        machine,
-                        heartbeat(
-                                1,
-                                51,
-                                TOKEN,
-                                new TaskStatus(assignment.taskId, assignment.attempt, Assignment.State.RUNNING, "")),
-                        true,
-                        500);
+        startTask(machine, job, 50);
         scheduler.heartbeats().applyAgentRestart(machine, heartbeat(1, 1, TOKEN), 1_000);
         assertTrue(job.pendingTasks.get(0));
         assertFalse(machine.schedulable());
@@ -250,12 +238,8 @@
     @Test
     void heartbeatsFromBeforeAFencedRestartAreIgnored() {
         Machine machine = machine("n-1", true);
-        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 50, TOKEN), true, 0);
         Job job = job(TOKEN);
-        scheduler.runSchedulingCycle(0);
-        Assignment assignment = job.assignments.get(0);
-        TaskStatus running = new TaskStatus(assignment.taskId, assignment.attempt, Assignment.State.RUNNING, "");
-        scheduler.heartbeats().applyHeartbeat(machine, heartbeat(1, 51, TOKEN, running), true, 500);
+        TaskStatus running = running(startTask(machine, job, 50));
         scheduler.heartbeats().applyFencedRestart(machine, heartbeat(1, 2, TOKEN + 1), 1_000);
         assertTrue(job.pendingTasks.get(0));
         assertTrue(machine.schedulable());
--- a/src/test/java/org/hollypick/sim/InboundReachabilityTest.java
+++ b/src/test/java/org/hollypick/sim/InboundReachabilityTest.java
@@ -23,6 +23,12 @@
     private static final long FIVE_MINUTES_MS = 300_000;
     private static final long QUOTA_CHECK_INTERVAL_MS = 500;
     private static final double LARGEST_TASK_CORES = 2;
+    /** How long late copies of heartbeats arrive. */
+    private static final long FLOOD_MS = 20_000;
+    /** Agents that boot meanwhile, and are called as well. */
+    private static final int OTHER_AGENTS = 6;
+    /** An agent sends heartbeats at least this far apart, and needs no more calls than that. */
+    private static final long MIN_CALL_INTERVAL_MS = 500;
 
     private static ClusterScenario newScenario(long seed) {
         return newScenario(seed, 3);
@@ -253,21 +259,21 @@
         for (int seed = 1; seed <= 3; seed++) {
             ClusterScenario scenario = new ClusterScenario(seed, 4);
             Map<String, Request> firstHeartbeats = new HashMap<>();
-            scenario.world.heartbeatObserver = heartbeat ->
-                    firstHeartbeats.putIfAbsent(heartbeat.body().path("bothy").asText(), heartbeat);
+            scenario.world.heartbeatObserver = heartbeat -> firstHeartbeats.putIfAbsent(
+                    heartbeat.body().path(AgentProtocol.MACHINE_ID).asText(), heartbeat);
             scenario.advance(5_000);
             scenario.workload.submitUncancelledServices(3);
             scenario.advance(40_000);
             AtomicInteger callsWithoutCommands = new AtomicInteger();
             scenario.world.requestObserver = scenario.world.requestObserver.andThen((from, call) -> {
-                if (call.path().equals("/commands")
-                        && call.body().path("orders").isEmpty()) {
+                if (call.path().equals(AgentProtocol.COMMANDS)
+                        && call.body().path(AgentProtocol.COMMAND_LIST).isEmpty()) {
                     callsWithoutCommands.incrementAndGet();
                 }
             });
             scenario.workload.submitBatchJobs(12, 15_000);
             int agents = firstHeartbeats.size();
-            for (int atMs = 0; atMs < 20_000; atMs += 50) {
+            for (int atMs = 0; atMs < FLOOD_MS; atMs += 50) {
                 scenario.world.schedule(
                         atMs,
                         () -> firstHeartbeats
@@ -275,10 +281,11 @@
                                 .forEach(heartbeat ->
                                         scenario.world.deliverIgnoringResponse(heartbeat, heartbeat.address())));
             }
-            scenario.advance(20_000);
+            scenario.advance(FLOOD_MS);
             int calls = callsWithoutCommands.get();
             assertTrue(calls >= agents, "seed " + seed + ": only " + calls + " checks of " + agents + " agents");
-            assertTrue(calls <= 2 * 20 * (agents + 6), "seed " + seed + ": " + calls + " calls to " + agents);
+            long allowed = (agents + OTHER_AGENTS) * FLOOD_MS / MIN_CALL_INTERVAL_MS;
+            assertTrue(calls <= allowed, "seed " + seed + ": " + calls + " calls to " + agents);
             scenario.advance(100_000);
             assertBatchJobsTerminalWithoutViolations(scenario, seed);
         }
--- a/src/test/java/org/hollypick/sim/RepeatedRequestsTest.java
+++ b/src/test/java/org/hollypick/sim/RepeatedRequestsTest.java
@@ -45,12 +45,12 @@
         RepeatedRequests copies = new RepeatedRequests(scenario.world, seed);
         copies.probabilityAfterClear = 1;
         copies.probabilityAfterRestart = 1;
-        run(scenario, copies, disruption, alteration);
+        runDisrupted(scenario, copies, disruption, alteration);
         assertTrue(copies.deliveredCopies > 0, "seed " + seed + ": no copy was delivered");
         return scenario;
     }
 
-    private static void run(
+    private static void runDisrupted(
             ClusterScenario scenario, RepeatedRequests copies, Disruption disruption, Consumer<FakeAgent> alteration) {
         scenario.users.cancelOneIn = 2;
         scenario.cloud.bootListener = agent -> {
@@ -140,7 +140,7 @@
             RepeatedRequests copies = new RepeatedRequests(scenario.world, seed);
             copies.probabilityAfterRestart = 1;
             copies.delayAfterRestartMs = HEARTBEAT_AFTER_RESTART_MS;
-            run(
+            runDisrupted(
                     scenario,
                     copies,
                     Disruption.AGENT_RESTARTS_WITHOUT_STATE,
