Share the tolerance for rounded resource amounts; compare sequence numbers as unsigned

Change: SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE; CommandDispatcher.exceedsUnresponsiveLimit; unsigned comparisons in Machine.countsFromTheStart, equal for every number below 2^63.

--- a/src/main/java/org/hollypick/config/constants/SchedulingConstants.java
+++ b/src/main/java/org/hollypick/config/constants/SchedulingConstants.java
@@ -51,5 +51,8 @@
      */
     public static final double SERVICE_CONCENTRATION_PENALTY_S = 12;
 
+    /** Tolerance in cores, GPUs or gigabytes for rounding errors in sums of decimal amounts. */
+    public static final double RESOURCE_ROUNDING_TOLERANCE = 1e-6;
+
     private SchedulingConstants() {}
 }
--- a/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
+++ b/src/main/java/org/hollypick/control/machines/CommandDispatcher.java
@@ -80,7 +80,7 @@
         if (machine.reconciled() && !isProbe && canWaitForHeartbeat) {
             return;
         }
-        if (isUnresponsive(machine) && !limiter.mayCallUnresponsive()) {
+        if (exceedsUnresponsiveLimit(machine)) {
             return;
         }
         send(machine, commands, machine.heartbeatReceived() ? machine.incarnation() : FIRST_INCARNATION);
@@ -95,7 +95,7 @@
         if (!isCallable(machine)
                 || !machine.restartCheck.isDue(now)
                 || restartChecksInFlight >= FailureDetectionConstants.MAX_RESTART_CHECKS_IN_FLIGHT
-                || (isUnresponsive(machine) && !limiter.mayCallUnresponsive())) {
+                || exceedsUnresponsiveLimit(machine)) {
             return;
         }
         scheduler.commands().raiseToken(machine);
@@ -111,6 +111,10 @@
         send(machine, List.of(), machine.restartCheck.incarnation());
     }
 
+    private boolean exceedsUnresponsiveLimit(Machine machine) {
+        return isUnresponsive(machine) && !limiter.mayCallUnresponsive();
+    }
+
     private static boolean isUnresponsive(Machine machine) {
         return machine.directCalls.unacknowledgedCalls() > 0 || machine.validity.isSuspected();
     }
--- a/src/main/java/org/hollypick/core/TeamUsage.java
+++ b/src/main/java/org/hollypick/core/TeamUsage.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import org.hollypick.config.Settings;
+import org.hollypick.config.constants.SchedulingConstants;
 import org.hollypick.core.assignment.Machine;
 
 /**
@@ -12,9 +13,6 @@
  * counted too (docs/safety.md, "quota"). Confined to the event loop.
  */
 final class TeamUsage {
-    /** Tolerance for rounding errors in sums of decimal amounts. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     private final Object2DoubleOpenHashMap<String> cpus = new Object2DoubleOpenHashMap<>();
     private final Object2DoubleOpenHashMap<String> gpus = new Object2DoubleOpenHashMap<>();
     private final Object2LongOpenHashMap<String> changeCounts = new Object2LongOpenHashMap<>();
@@ -139,6 +137,6 @@
 
     /** Whether an amount is within the limit; 0 or less means that there is no limit. */
     private static boolean withinLimit(double limit, double amount) {
-        return limit <= 0 || amount <= limit + ROUNDING_TOLERANCE;
+        return limit <= 0 || amount <= limit + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE;
     }
 }
--- a/src/main/java/org/hollypick/core/assignment/Machine.java
+++ b/src/main/java/org/hollypick/core/assignment/Machine.java
@@ -409,8 +409,10 @@
     }
 
     private boolean countsFromTheStart(Heartbeat heartbeat) {
-        return heartbeat.sequence() <= FailureDetectionConstants.MAX_FIRST_SEQUENCE
-                && heartbeatSequence - heartbeat.sequence() >= FailureDetectionConstants.MIN_SEQUENCE_DROP_OF_RESTART
+        long sequence = heartbeat.sequence();
+        long lowestKnown = sequence + FailureDetectionConstants.MIN_SEQUENCE_DROP_OF_RESTART;
+        return Long.compareUnsigned(sequence, FailureDetectionConstants.MAX_FIRST_SEQUENCE) <= 0
+                && Long.compareUnsigned(heartbeatSequence, lowestKnown) >= 0
                 && Long.compareUnsigned(heartbeat.incarnation(), incarnation) <= 0;
     }
 
--- a/src/main/java/org/hollypick/core/assignment/ResourceUsage.java
+++ b/src/main/java/org/hollypick/core/assignment/ResourceUsage.java
@@ -1,13 +1,11 @@
 package org.hollypick.core.assignment;
 
+import org.hollypick.config.constants.SchedulingConstants;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.MachineType;
 
 /** The resources of one machine that its assignments hold. Confined to the event loop. */
 final class ResourceUsage {
-    /** For rounding errors in sums of decimal amounts. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     private double cpus;
     private double gpus;
     private double memoryGb;
@@ -30,9 +28,9 @@
 
     /** Whether a machine of this type has enough free resources for a further task. */
     boolean leavesRoomFor(JobSpec task, MachineType type) {
-        return cpus + task.cpus() <= type.cpus() + ROUNDING_TOLERANCE
-                && gpus + task.gpus() <= type.gpus() + ROUNDING_TOLERANCE
-                && memoryGb + task.memoryGb() <= type.memoryGb() + ROUNDING_TOLERANCE;
+        return cpus + task.cpus() <= type.cpus() + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE
+                && gpus + task.gpus() <= type.gpus() + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE
+                && memoryGb + task.memoryGb() <= type.memoryGb() + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE;
     }
 
     double cpus() {
--- a/src/main/java/org/hollypick/core/autoscaling/QuotaBudget.java
+++ b/src/main/java/org/hollypick/core/autoscaling/QuotaBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.hollypick.config.constants.SchedulingConstants;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.TeamQuotas;
 
@@ -10,9 +11,6 @@
  * however many machines there are. A team without a limit has an infinite quota. Confined to the event loop.
  */
 final class QuotaBudget {
-    /** Allows for rounding errors in sums of decimal amounts. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     private final TeamQuotas quotas;
     private final Map<String, RemainingQuota> remainingByTeam = new HashMap<>();
 
@@ -36,7 +34,7 @@
 
         private static double maxTasks(double available, double perTask) {
             return perTask > 0
-                    ? Math.floor(Math.max(0, available + ROUNDING_TOLERANCE) / perTask)
+                    ? Math.floor(Math.max(0, available + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE) / perTask)
                     : Double.POSITIVE_INFINITY;
         }
 
--- a/src/main/java/org/hollypick/core/autoscaling/TaskPacking.java
+++ b/src/main/java/org/hollypick/core/autoscaling/TaskPacking.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.TreeMap;
+import org.hollypick.config.constants.SchedulingConstants;
 import org.hollypick.core.JobSpec;
 import org.hollypick.core.assignment.Machine;
 
@@ -17,9 +18,6 @@
             .thenComparingDouble(TaskSize::gpus)
             .thenComparingDouble(TaskSize::memoryGb)
             .reversed();
-    /** Allows for rounding errors in sums of decimal amounts. */
-    private static final double ROUNDING_TOLERANCE = 1e-6;
-
     private final Map<TaskSize, Integer> countsBySize = new TreeMap<>(LARGEST_FIRST);
 
     /** The resources that one task needs. */
@@ -51,7 +49,7 @@
 
         private static double maxTasks(double available, double perTask) {
             return perTask > 0
-                    ? Math.floor(Math.max(0, available + ROUNDING_TOLERANCE) / perTask)
+                    ? Math.floor(Math.max(0, available + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE) / perTask)
                     : Double.POSITIVE_INFINITY;
         }
     }
@@ -72,7 +70,8 @@
         unplaced.putAll(countsBySize);
         double fewestCpus = unplaced.lastKey().cpus;
         for (Machine machine : machines) {
-            boolean mayFit = machine.type.cpus() - machine.usedCpus() + ROUNDING_TOLERANCE >= fewestCpus;
+            boolean mayFit = machine.type.cpus() - machine.usedCpus() + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE
+                    >= fewestCpus;
             if (mayFit && !machine.isEvicting()) {
                 FreeResources free = new FreeResources(machine);
                 unplaced.replaceAll((size, count) -> count - free.pack(size, count));
--- a/src/main/java/org/hollypick/core/placement/MachineSelector.java
+++ b/src/main/java/org/hollypick/core/placement/MachineSelector.java
@@ -18,8 +18,6 @@
  * event loop.
  */
 public final class MachineSelector {
-    /** For rounding errors in sums of decimal amounts. */
-    private static final double SLACK = 1e-6;
     /** Score of a fully used machine over an empty one, in seconds of image fetching. */
     private static final double PACKING_BONUS_S = 2;
     /** Score of a spot instance over an on-demand one for job arrays, in seconds of image fetching. */
@@ -253,6 +251,8 @@
     }
 
     private static boolean fits(JobSpec spec, double cpus, double gpus, double memoryGb) {
-        return spec.cpus() <= cpus + SLACK && spec.gpus() <= gpus + SLACK && spec.memoryGb() <= memoryGb + SLACK;
+        return spec.cpus() <= cpus + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE
+                && spec.gpus() <= gpus + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE
+                && spec.memoryGb() <= memoryGb + SchedulingConstants.RESOURCE_ROUNDING_TOLERANCE;
     }
 }
